--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,47 @@
+package member
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// View is an immutable list of the nodes that one node believes in, itself included. Dead and left
+// nodes are not part of it; suspect ones are.
+type View struct {
+	self     Key
+	members  []Member
+	byPeer   map[netip.AddrPort]int
+	services map[string][]Member
+}
+
+// NewView returns the view that the node self has. It keeps and sorts the slice.
+func NewView(self Key, members []Member) *View {
+	slices.SortFunc(members, func(a, b Member) int { return a.key.peer.Compare(b.key.peer) })
+	v := &View{self: self, members: members, byPeer: make(map[netip.AddrPort]int, len(members)), services: make(map[string][]Member)}
+	for i, m := range members {
+		v.byPeer[m.key.peer] = i
+		if name := m.server.service; name != "" {
+			v.services[name] = append(v.services[name], m)
+		}
+	}
+	return v
+}
+
+// Self returns the key of the node whose view this is.
+func (v *View) Self() Key { return v.self }
+
+// Members returns all members, ordered by address. The caller must not change it.
+func (v *View) Members() []Member { return v.members }
+
+// Member returns the member at a peer address.
+func (v *View) Member(peer netip.AddrPort) (Member, bool) {
+	i, ok := v.byPeer[peer]
+	if !ok {
+		return Member{}, false
+	}
+	return v.members[i], true
+}
+
+// Service returns the members whose backend servers belong to a service, in any state, ordered by
+// address. The caller must not change it.
+func (v *View) Service(name string) []Member { return v.services[name] }
--- /dev/null
+++ b/message/message.go
@@ -0,0 +1,195 @@
+// Package message holds the typed messages through which the parts of a node meet: peer messages
+// between nodes, events from the edges to the control thread, and actions from the control thread to
+// the edges.
+package message
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Stream names a stream of the platform's log.
+type Stream string
+
+// Streams that the system uses.
+const (
+	// StreamConfig holds change sets and checkpoints of the configuration.
+	StreamConfig Stream = "config"
+	// StreamRendezvous holds addresses of live nodes, for nodes that know nobody.
+	StreamRendezvous Stream = "rendezvous"
+)
+
+// Peer is a message from one node to another. Delivery is not guaranteed: messages may be lost,
+// duplicated, delayed and reordered.
+type Peer interface {
+	// Peer marks the message types that travel between nodes.
+	Peer()
+}
+
+// Envelope is a received peer message with its sender.
+type Envelope struct {
+	from member.Key
+	body Peer
+}
+
+// NewEnvelope returns a message received from a node process.
+func NewEnvelope(from member.Key, body Peer) Envelope { return Envelope{from: from, body: body} }
+
+// From returns the process that sent the message.
+func (e Envelope) From() member.Key { return e.from }
+
+// Body returns the message.
+func (e Envelope) Body() Peer { return e.body }
+
+// Digest says how far a node has folded the configuration stream.
+type Digest struct {
+	version record.Version
+	head    record.Offset
+	chain   uint64
+}
+
+// NewDigest returns the digest of a node that holds version, whose next unread offset is head and
+// whose hash over all entries before head is chain.
+func NewDigest(version record.Version, head record.Offset, chain uint64) Digest {
+	return Digest{version: version, head: head, chain: chain}
+}
+
+// Version returns the configuration version in force.
+func (d Digest) Version() record.Version { return d.version }
+
+// Head returns the first offset that is not folded yet.
+func (d Digest) Head() record.Offset { return d.head }
+
+// Chain returns the hash over all entries before the head.
+func (d Digest) Chain() uint64 { return d.chain }
+
+// Action is an order from the control thread to the edges.
+type Action interface {
+	// Action marks the types that are orders.
+	Action()
+}
+
+// Send orders one peer message to be sent.
+type Send struct {
+	to   netip.AddrPort
+	body Peer
+}
+
+// NewSend returns the order to send body to the node at the peer address to.
+func NewSend(to netip.AddrPort, body Peer) Send { return Send{to: to, body: body} }
+
+// Action implements Action.
+func (Send) Action() {}
+
+// To returns the peer address of the receiver.
+func (s Send) To() netip.AddrPort { return s.to }
+
+// Body returns the message to send.
+func (s Send) Body() Peer { return s.body }
+
+// ReadLog orders a read of a stream. It is answered by exactly one LogPage.
+type ReadLog struct {
+	stream Stream
+	from   record.Offset
+	wait   time.Duration
+}
+
+// NewReadLog returns the order to read stream from an offset, waiting up to wait for a first entry.
+func NewReadLog(stream Stream, from record.Offset, wait time.Duration) ReadLog {
+	return ReadLog{stream: stream, from: from, wait: wait}
+}
+
+// Action implements Action.
+func (ReadLog) Action() {}
+
+// Stream returns the stream to read.
+func (r ReadLog) Stream() Stream { return r.stream }
+
+// From returns the first offset wanted.
+func (r ReadLog) From() record.Offset { return r.from }
+
+// Wait returns how long the log may hold the answer until an entry arrives.
+func (r ReadLog) Wait() time.Duration { return r.wait }
+
+// AppendLog orders one append to a stream. It is answered by exactly one LogAppended.
+type AppendLog struct {
+	stream Stream
+	token  uint64
+	data   []byte
+}
+
+// NewAppendLog returns the order to append data to stream. The answer carries the token.
+func NewAppendLog(stream Stream, token uint64, data []byte) AppendLog {
+	return AppendLog{stream: stream, token: token, data: data}
+}
+
+// Action implements Action.
+func (AppendLog) Action() {}
+
+// Stream returns the stream to append to.
+func (a AppendLog) Stream() Stream { return a.stream }
+
+// Token returns the number that the answer repeats.
+func (a AppendLog) Token() uint64 { return a.token }
+
+// Data returns the content of the entry.
+func (a AppendLog) Data() []byte { return a.data }
+
+// LogPage is the answer to a ReadLog.
+type LogPage struct {
+	stream  Stream
+	first   record.Offset
+	next    record.Offset
+	entries []record.Entry
+	err     error
+}
+
+// NewLogPage returns entries read from stream, whose oldest kept offset is first and whose next append
+// gets the offset next. With err set, first and next hold only if err says that the entries wanted
+// were trimmed.
+func NewLogPage(stream Stream, first, next record.Offset, entries []record.Entry, err error) LogPage {
+	return LogPage{stream: stream, first: first, next: next, entries: entries, err: err}
+}
+
+// Stream returns the stream that was read.
+func (p LogPage) Stream() Stream { return p.stream }
+
+// First returns the oldest offset that the log still keeps.
+func (p LogPage) First() record.Offset { return p.first }
+
+// Next returns the offset that the next append to the stream gets.
+func (p LogPage) Next() record.Offset { return p.next }
+
+// Entries returns the entries in order of offset, without gaps.
+func (p LogPage) Entries() []record.Entry { return p.entries }
+
+// Err returns why nothing was read, classed by the errors of package platform.
+func (p LogPage) Err() error { return p.err }
+
+// LogAppended is the answer to an AppendLog.
+type LogAppended struct {
+	stream Stream
+	token  uint64
+	offset record.Offset
+	err    error
+}
+
+// NewLogAppended returns the answer to the append with that token.
+func NewLogAppended(stream Stream, token uint64, offset record.Offset, err error) LogAppended {
+	return LogAppended{stream: stream, token: token, offset: offset, err: err}
+}
+
+// Stream returns the stream appended to.
+func (a LogAppended) Stream() Stream { return a.stream }
+
+// Token returns the token of the order.
+func (a LogAppended) Token() uint64 { return a.token }
+
+// Offset returns the offset that the entry got, if Err is nil.
+func (a LogAppended) Offset() record.Offset { return a.offset }
+
+// Err returns why the append failed or is in doubt, classed by the errors of package platform.
+func (a LogAppended) Err() error { return a.err }
--- /dev/null
+++ b/record/entry.go
@@ -0,0 +1,19 @@
+package record
+
+// Offset is the position of an entry in a stream of the platform's log. The first entry has offset 0.
+type Offset uint64
+
+// Entry is one entry of the log.
+type Entry struct {
+	offset Offset
+	data   []byte
+}
+
+// NewEntry returns the entry at offset. It keeps data, so the caller must not change it afterwards.
+func NewEntry(offset Offset, data []byte) Entry { return Entry{offset: offset, data: data} }
+
+// Offset returns the position of the entry.
+func (e Entry) Offset() Offset { return e.offset }
+
+// Data returns the content. The caller must not change it.
+func (e Entry) Data() []byte { return e.data }
--- /dev/null
+++ b/record/record.go
@@ -0,0 +1,258 @@
+// Package record holds the configuration records that operators publish: services, resources and
+// routes, and the change sets that carry them. Values are immutable; codecs map them by hand.
+package record
+
+import (
+	"time"
+)
+
+// Schema is the version of the format that one record is written in.
+type Schema uint16
+
+// Schemas that this binary understands.
+const (
+	// Schema1 is the first format: routes say whether they are idempotent, and nothing more.
+	Schema1 Schema = 1
+	// Schema2 adds timeouts, resources and objectives to routes.
+	Schema2 Schema = 2
+	// SchemaNewest is the newest format that this binary understands.
+	SchemaNewest = Schema2
+)
+
+// Version numbers the accepted configurations. It is the log offset behind the change set that was
+// accepted last, so versions rise with every acceptance but are not consecutive. Zero means that
+// nothing has been accepted yet.
+type Version uint64
+
+// Kind tells the kinds of records apart.
+type Kind uint8
+
+// Kinds of records.
+const (
+	KindService Kind = iota + 1
+	KindResource
+	KindRoute
+)
+
+// String returns the name that record files and messages use.
+func (k Kind) String() string {
+	switch k {
+	case KindService:
+		return "service"
+	case KindResource:
+		return "resource"
+	case KindRoute:
+		return "route"
+	}
+	return "unknown"
+}
+
+// ParseKind returns the kind of that name, and false when there is none.
+func ParseKind(name string) (Kind, bool) {
+	for _, k := range []Kind{KindService, KindResource, KindRoute} {
+		if k.String() == name {
+			return k, true
+		}
+	}
+	return 0, false
+}
+
+// ID names one record.
+type ID struct {
+	kind Kind
+	name string
+}
+
+// NewID returns the ID of the record of that kind and name.
+func NewID(kind Kind, name string) ID { return ID{kind: kind, name: name} }
+
+// Kind returns the kind of the record.
+func (id ID) Kind() Kind { return id.kind }
+
+// Name returns the name of the record, unique among its kind.
+func (id ID) Name() string { return id.name }
+
+// String returns kind and name, as "route/catalogue".
+func (id ID) String() string { return id.kind.String() + "/" + id.name }
+
+// Compare orders IDs by kind, then by name.
+func (id ID) Compare(other ID) int {
+	if id.kind != other.kind {
+		return int(id.kind) - int(other.kind)
+	}
+	if id.name < other.name {
+		return -1
+	}
+	if id.name > other.name {
+		return 1
+	}
+	return 0
+}
+
+// Record is one versioned configuration record: a Service, a Resource or a Route.
+type Record interface {
+	// ID returns the kind and name of the record.
+	ID() ID
+	// Schema returns the format in which the record was written.
+	Schema() Schema
+	// References returns the IDs of the records that must exist beside this one.
+	References() []ID
+}
+
+// Service is a group of backend servers that answer the same routes.
+type Service struct {
+	schema Schema
+	name   string
+	slots  int
+}
+
+// NewService returns a service whose backend servers each run up to slots calls at once. Zero leaves
+// the number to what each server announces.
+func NewService(schema Schema, name string, slots int) Service {
+	return Service{schema: schema, name: name, slots: slots}
+}
+
+// ID implements Record.
+func (s Service) ID() ID { return NewID(KindService, s.name) }
+
+// Schema implements Record.
+func (s Service) Schema() Schema { return s.schema }
+
+// References implements Record. A service refers to nothing.
+func (s Service) References() []ID { return nil }
+
+// Name returns the name that backend servers announce.
+func (s Service) Name() string { return s.name }
+
+// Slots returns the number of calls that one backend server runs at once, or zero.
+func (s Service) Slots() int { return s.slots }
+
+// Resource is a limit that routes share: a rate of calls and a burst, kept by each node.
+type Resource struct {
+	schema Schema
+	name   string
+	rate   float64
+	burst  int
+}
+
+// NewResource returns a limit of rate calls per second and node, with bursts of up to burst calls.
+func NewResource(schema Schema, name string, rate float64, burst int) Resource {
+	return Resource{schema: schema, name: name, rate: rate, burst: burst}
+}
+
+// ID implements Record.
+func (r Resource) ID() ID { return NewID(KindResource, r.name) }
+
+// Schema implements Record.
+func (r Resource) Schema() Schema { return r.schema }
+
+// References implements Record. A resource refers to nothing.
+func (r Resource) References() []ID { return nil }
+
+// Name returns the name by which routes refer to the resource.
+func (r Resource) Name() string { return r.name }
+
+// Rate returns the permitted calls per second on one node.
+func (r Resource) Rate() float64 { return r.rate }
+
+// Burst returns the number of calls that may exceed the rate at once.
+func (r Resource) Burst() int { return r.burst }
+
+// Objective is the service level that a route promises.
+type Objective struct {
+	target  float64
+	latency time.Duration
+}
+
+// NewObjective returns an objective: the share target of calls (between 0 and 1) is answered without
+// an error within latency. The zero Objective promises nothing.
+func NewObjective(target float64, latency time.Duration) Objective {
+	return Objective{target: target, latency: latency}
+}
+
+// Target returns the share of good calls that is promised.
+func (o Objective) Target() float64 { return o.target }
+
+// Latency returns the time within which a call counts as good.
+func (o Objective) Latency() time.Duration { return o.latency }
+
+// IsZero tells whether nothing is promised.
+func (o Objective) IsZero() bool { return o == Objective{} }
+
+// DefaultTimeout is the timeout of routes that set none, and of all routes of Schema1.
+const DefaultTimeout = 5 * time.Second
+
+// Route sends the calls below a path prefix to a service.
+type Route struct {
+	schema     Schema
+	name       string
+	path       string
+	service    string
+	idempotent bool
+	timeout    time.Duration
+	resources  []string
+	objective  Objective
+}
+
+// NewRoute returns a route of Schema1: calls whose path starts with path go to service. Calls on a
+// route that is not idempotent need a request key and run at most once.
+func NewRoute(name, path, service string, idempotent bool) Route {
+	return Route{schema: Schema1, name: name, path: path, service: service, idempotent: idempotent, timeout: DefaultTimeout}
+}
+
+// NewRoute2 returns a route of Schema2. A timeout of zero means DefaultTimeout. The route keeps
+// resources, so the caller must not change it afterwards.
+func NewRoute2(name, path, service string, idempotent bool, timeout time.Duration, resources []string, objective Objective) Route {
+	r := NewRoute(name, path, service, idempotent)
+	r.schema = Schema2
+	r.resources = resources
+	r.objective = objective
+	if timeout > 0 {
+		r.timeout = timeout
+	}
+	return r
+}
+
+// WithSchema returns a copy of the route that claims another schema. It serves decoders, which must
+// represent records of schemas that this binary does not understand.
+func (r Route) WithSchema(schema Schema) Route {
+	r.schema = schema
+	return r
+}
+
+// ID implements Record.
+func (r Route) ID() ID { return NewID(KindRoute, r.name) }
+
+// Schema implements Record.
+func (r Route) Schema() Schema { return r.schema }
+
+// References implements Record: the service and the resources of the route.
+func (r Route) References() []ID {
+	ids := make([]ID, 0, len(r.resources)+1)
+	ids = append(ids, NewID(KindService, r.service))
+	for _, name := range r.resources {
+		ids = append(ids, NewID(KindResource, name))
+	}
+	return ids
+}
+
+// Name returns the name of the route.
+func (r Route) Name() string { return r.name }
+
+// Path returns the path prefix, which starts with a slash.
+func (r Route) Path() string { return r.path }
+
+// Service returns the name of the service that answers.
+func (r Route) Service() string { return r.service }
+
+// Idempotent tells whether a call may run more than once.
+func (r Route) Idempotent() bool { return r.idempotent }
+
+// Timeout returns the time that a call may take in all, retries included.
+func (r Route) Timeout() time.Duration { return r.timeout }
+
+// Resources returns the names of the limits that the route draws on. The caller must not change it.
+func (r Route) Resources() []string { return r.resources }
+
+// Objective returns the promised service level, zero when there is none.
+func (r Route) Objective() Objective { return r.objective }
--- /dev/null
+++ b/timer/timer.go
@@ -0,0 +1,95 @@
+// Package timer is the only source of time: parts read the clock from a Service and subscribe to it
+// instead of calling package time. Tests drive the same Service by hand.
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// Service tells the time and calls subscribers when their time has come.
+type Service struct {
+	now   func() time.Time
+	start func(d time.Duration, fn func()) (stop func())
+}
+
+// New returns a Service on the system clock.
+func New() *Service {
+	return &Service{now: time.Now, start: startSystem}
+}
+
+func startSystem(d time.Duration, fn func()) func() {
+	t := time.AfterFunc(d, fn)
+	return func() { t.Stop() }
+}
+
+// Now returns the current time.
+func (s *Service) Now() time.Time { return s.now() }
+
+// After calls fn once, d from now.
+func (s *Service) After(d time.Duration, fn func(now time.Time)) *Subscription {
+	return s.subscribe(d, false, fn)
+}
+
+// Every calls fn each period until the subscription is closed. Calls never overlap: the next period
+// starts when fn has returned.
+func (s *Service) Every(period time.Duration, fn func(now time.Time)) *Subscription {
+	return s.subscribe(period, true, fn)
+}
+
+func (s *Service) subscribe(d time.Duration, repeat bool, fn func(now time.Time)) *Subscription {
+	sub := &Subscription{service: s, period: d, repeat: repeat, fn: fn}
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	sub.stop = s.start(d, sub.fire)
+	return sub
+}
+
+// Subscription is one registration with a Service.
+type Subscription struct {
+	service *Service
+	period  time.Duration
+	repeat  bool
+	fn      func(now time.Time)
+
+	mu     sync.Mutex
+	closed bool
+	stop   func()
+	call   sync.Mutex // held while fn runs
+}
+
+func (s *Subscription) fire() {
+	s.call.Lock()
+	defer s.call.Unlock()
+	if s.isClosed() {
+		return
+	}
+	s.fn(s.service.Now())
+	s.restart()
+}
+
+func (s *Subscription) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || !s.repeat {
+		return
+	}
+	s.stop = s.service.start(s.period, s.fire)
+}
+
+func (s *Subscription) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// Close ends the subscription and waits for a running call to return. It must not be called from
+// within that call.
+func (s *Subscription) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.stop()
+	s.mu.Unlock()
+	s.call.Lock()
+	defer s.call.Unlock()
+}
