--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 	bash .ci/test
 
 build:
-	go build -o bin/ ./...
+	go build ./...
+	go build -o bin/ .
 
 format:
 	@files=$$(git ls-files '*.go' | xargs -r go tool gofumpt -l); \
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,75 @@
+// Package command holds the command line. Each command lives in a file of its own, which registers it.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of every command.
+const (
+	ExitOK          = 0 // done
+	ExitFailure     = 1 // the command ran and failed
+	ExitUsage       = 2 // bad arguments, settings or records; nothing was started or sent
+	ExitRefused     = 3 // the fleet refused the change set
+	ExitUnknown     = 4 // the outcome is not known; the same publish ID may be tried again
+	ExitUnavailable = 5 // the node or the log could not be reached; nothing was changed
+)
+
+// Env is what a command may use of the process around it.
+type Env struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Runner is one command: a tagged struct of options that can be run.
+type Runner interface {
+	// Run executes the command and returns its exit code.
+	Run(env Env, args []string) int
+}
+
+type entry struct {
+	name  string
+	short string
+	long  string
+	make  func() Runner
+}
+
+var entries []entry
+
+// Register adds a command. Files call it from init.
+func Register(name, short, long string, makeRunner func() Runner) {
+	entries = append(entries, entry{name: name, short: short, long: long, make: makeRunner})
+}
+
+// Run parses the arguments, runs the command that they name and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	env := Env{Out: out, Err: errOut}
+	parser := flags.NewNamedParser("bambooknot", flags.HelpFlag|flags.PassDoubleDash)
+	runners := make(map[string]Runner, len(entries))
+	for _, e := range entries {
+		runner := e.make()
+		if _, err := parser.AddCommand(e.name, e.short, e.long, runner); err != nil {
+			return usage(env, err)
+		}
+		runners[e.name] = runner
+	}
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return usage(env, err)
+	}
+	return runners[parser.Active.Name].Run(env, rest)
+}
+
+func usage(env Env, err error) int {
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+		fmt.Fprintln(env.Out, err)
+		return ExitOK
+	}
+	fmt.Fprintln(env.Err, err)
+	return ExitUsage
+}
