--- /dev/null
+++ b/catalog/snapshot.go
@@ -0,0 +1,93 @@
+// Package catalog decides which change sets are accepted and holds the configuration that results. The
+// decision is a pure function of the log's prefix, so that all nodes decide alike.
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Snapshot is one accepted configuration, whole and immutable.
+type Snapshot struct {
+	version record.Version
+	level   record.Schema
+	records map[record.ID]record.Record
+	routes  []record.Route // longest path first
+}
+
+// NewSnapshot returns the configuration made of records. It keeps the map, so the caller must not
+// change it afterwards.
+func NewSnapshot(version record.Version, level record.Schema, records map[record.ID]record.Record) *Snapshot {
+	s := &Snapshot{version: version, level: level, records: records}
+	for _, r := range records {
+		if route, ok := r.(record.Route); ok {
+			s.routes = append(s.routes, route)
+		}
+	}
+	slices.SortFunc(s.routes, compareRoutes)
+	return s
+}
+
+func compareRoutes(a, b record.Route) int {
+	if len(a.Path()) != len(b.Path()) {
+		return len(b.Path()) - len(a.Path())
+	}
+	return strings.Compare(a.Name(), b.Name())
+}
+
+// Version returns the version of the configuration.
+func (s *Snapshot) Version() record.Version { return s.version }
+
+// Level returns the newest record schema that the fleet accepts.
+func (s *Snapshot) Level() record.Schema { return s.level }
+
+// Match returns the route with the longest path prefix of path. A prefix ends at a slash or at the
+// end of path.
+func (s *Snapshot) Match(path string) (record.Route, bool) {
+	for _, r := range s.routes {
+		if hasPathPrefix(path, r.Path()) {
+			return r, true
+		}
+	}
+	return record.Route{}, false
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return strings.HasSuffix(prefix, "/") || len(path) == len(prefix) || path[len(prefix)] == '/'
+}
+
+// Record returns the record of that ID.
+func (s *Snapshot) Record(id record.ID) (record.Record, bool) {
+	r, ok := s.records[id]
+	return r, ok
+}
+
+// Service returns the service of that name.
+func (s *Snapshot) Service(name string) (record.Service, bool) {
+	r, ok := s.records[record.NewID(record.KindService, name)].(record.Service)
+	return r, ok
+}
+
+// Resource returns the resource of that name.
+func (s *Snapshot) Resource(name string) (record.Resource, bool) {
+	r, ok := s.records[record.NewID(record.KindResource, name)].(record.Resource)
+	return r, ok
+}
+
+// Routes returns all routes, those with the longest paths first. The caller must not change it.
+func (s *Snapshot) Routes() []record.Route { return s.routes }
+
+// Records returns all records, ordered by ID.
+func (s *Snapshot) Records() []record.Record {
+	all := make([]record.Record, 0, len(s.records))
+	for _, r := range s.records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b record.Record) int { return a.ID().Compare(b.ID()) })
+	return all
+}
--- /dev/null
+++ b/catalog/snapshot_test.go
@@ -0,0 +1,35 @@
+package catalog_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+func TestMatch(t *testing.T) {
+	records := make(map[record.ID]record.Record)
+	for _, r := range []record.Record{
+		record.NewService(record.Schema1, "narudzbe", 18),
+		record.NewRoute("root", "/", "narudzbe", true),
+		record.NewRoute("orders", "/orders", "narudzbe", false),
+		record.NewRoute("status", "/orders/status", "narudzbe", true),
+	} {
+		records[r.ID()] = r
+	}
+	s := catalog.NewSnapshot(7, record.Schema1, records)
+	for path, want := range map[string]string{
+		"/":                "root",
+		"/orders":          "orders",
+		"/orders/":         "orders",
+		"/ordersother":     "root",
+		"/orders/status":   "status",
+		"/orders/status/3": "status",
+	} {
+		r, ok := s.Match(path)
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, r.Name(), qt.Equals, want, qt.Commentf("%s", path))
+	}
+}
--- /dev/null
+++ b/message/snapshot.go
@@ -0,0 +1,24 @@
+package message
+
+import (
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/member"
+)
+
+// Snapshot is what the control thread hands to traffic: one configuration and one view of the fleet.
+// A request pins one Snapshot on arrival and uses no other.
+type Snapshot struct {
+	config *catalog.Snapshot
+	view   *member.View
+}
+
+// NewSnapshot returns the pair.
+func NewSnapshot(config *catalog.Snapshot, view *member.View) *Snapshot {
+	return &Snapshot{config: config, view: view}
+}
+
+// Config returns the configuration in force.
+func (s *Snapshot) Config() *catalog.Snapshot { return s.config }
+
+// View returns the members of the fleet.
+func (s *Snapshot) View() *member.View { return s.view }
