catalog: accept change sets as a pure function of the log's prefix

Cause: nodes need one decision on every change set without a coordinator. Ruled out: a lease holder or the publishing node as acceptor; both need a second source of truth and fail when paused.

--- /dev/null
+++ b/catalog/loader.go
@@ -0,0 +1,128 @@
+package catalog
+
+import (
+	"errors"
+
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Loader builds a State from a stream whose oldest entries were trimmed. It takes entries from the first
+// retained one on, finds a checkpoint that covers at least all entries before, restores it and folds the rest.
+type Loader struct {
+	newest   record.Schema
+	start    record.Offset
+	floor    record.Version
+	state    *State
+	entries  []record.Entry // from start on, until there is a state
+	parts    assembly
+	rejected int
+}
+
+// NewLoader returns a Loader for a binary that understands record.SchemaNewest. Start is the first offset that
+// the log keeps; the fold starts from nothing if it is zero.
+func NewLoader(start record.Offset) *Loader { return NewLoaderAbove(start, 0, record.SchemaNewest) }
+
+// NewLoaderAbove returns a Loader for a binary that holds version floor already and therefore takes no
+// checkpoint below it.
+func NewLoaderAbove(start record.Offset, floor record.Version, newest record.Schema) *Loader {
+	l := &Loader{newest: newest, start: start, floor: floor}
+	if start == 0 {
+		l.state = NewKnowing(newest)
+	}
+	return l
+}
+
+// State returns the state, or nil while no usable checkpoint has been found.
+func (l *Loader) State() *State { return l.state }
+
+// Next returns the offset of the entry that the Loader needs next.
+func (l *Loader) Next() record.Offset {
+	if l.state != nil {
+		return l.state.Head()
+	}
+	return l.start + record.Offset(len(l.entries))
+}
+
+// Rejected returns the number of whole checkpoints that were stale, damaged or below the floor.
+func (l *Loader) Rejected() int { return l.rejected }
+
+// Add takes the entries that follow. Entries seen before change nothing. The error is a *GapError when entries
+// are missing, and the caller then starts over with a new Loader; or a *LevelError.
+func (l *Loader) Add(entries []record.Entry) error {
+	for _, e := range entries {
+		if err := l.add(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Loader) add(e record.Entry) error {
+	if l.state != nil {
+		_, err := l.state.Apply(e)
+		return err
+	}
+	if e.Offset() < l.Next() {
+		return nil
+	}
+	if e.Offset() > l.Next() {
+		return &GapError{want: l.Next(), got: e.Offset()}
+	}
+	l.entries = append(l.entries, e)
+	item, err := codec.DecodeAt(e.Data(), l.newest)
+	if err != nil {
+		return nil // the fold will count it
+	}
+	chunk, ok := item.Chunk()
+	if !ok {
+		return nil
+	}
+	return l.take(chunk)
+}
+
+func (l *Loader) take(c codec.Chunk) error {
+	data, whole := l.parts.add(c)
+	if !whole {
+		return nil
+	}
+	s, err := l.restore(c, data)
+	var levelErr *LevelError
+	if errors.As(err, &levelErr) {
+		return err
+	}
+	if err != nil || s == nil {
+		l.rejected++
+		return nil
+	}
+	return l.resume(s)
+}
+
+// restore returns nil when the checkpoint is sound but useless.
+func (l *Loader) restore(c codec.Chunk, data []byte) (*State, error) {
+	if c.Head() < l.start || c.Head() > l.Next() {
+		return nil, nil
+	}
+	s, err := RestoreKnowing(data, l.newest)
+	if err != nil {
+		return nil, err
+	}
+	if s.head != c.Head() || s.chain != c.Chain() || s.version < l.floor {
+		return nil, nil
+	}
+	return s, nil
+}
+
+func (l *Loader) resume(s *State) error {
+	rest := l.entries[s.head-l.start:]
+	l.state, l.entries, l.parts = s, nil, assembly{}
+	return l.Add(rest)
+}
+
+// End tells the Loader that there are no entries from Next on. It returns a *LostError if there is no state.
+func (l *Loader) End() error {
+	if l.state != nil {
+		return nil
+	}
+	return &LostError{first: l.start, next: l.Next()}
+}
--- /dev/null
+++ b/catalog/state.go
@@ -0,0 +1,186 @@
+package catalog
+
+import (
+	"errors"
+
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// InitialLevel is the schema level before any change set raises it. It is the newest schema of the first
+// release and never follows record.SchemaNewest, because later binaries must fold old entries alike.
+const InitialLevel = record.Schema2
+
+// State is the result of folding a prefix of the configuration stream. It is not safe for concurrent use;
+// its Snapshots are.
+type State struct {
+	policy     policy
+	newest     record.Schema
+	level      record.Schema
+	levelStamp codec.Stamp
+	head       record.Offset
+	chain      uint64
+	version    record.Version
+	horizon    record.Version
+	index      index
+	graves     graves
+	decisions  decisions
+	trail      trail
+	snapshot   *Snapshot
+}
+
+// policy holds the steps of the fold that tests replace by broken ones.
+type policy struct {
+	order  func(s *State, offset record.Offset) (skip bool, err error)
+	link   func(chain uint64, e record.Entry) uint64
+	recall func(s *State, id record.PublishID) (record.Outcome, bool)
+	rules  []rule
+	commit func(s *State, c record.ChangeSet, stamp codec.Stamp)
+	export func(s *State) codec.Checkpoint
+}
+
+func defaultPolicy() policy {
+	return policy{
+		order:  (*State).checkOrder,
+		link:   linkEntry,
+		recall: (*State).Outcome,
+		rules:  defaultRules(),
+		commit: (*State).commit,
+		export: (*State).export,
+	}
+}
+
+// New returns the state before the first entry, for a binary that understands record.SchemaNewest.
+func New() *State { return NewKnowing(record.SchemaNewest) }
+
+// NewKnowing returns the state before the first entry, for a binary whose newest schema is given.
+func NewKnowing(newest record.Schema) *State {
+	return &State{
+		policy:    defaultPolicy(),
+		newest:    newest,
+		level:     InitialLevel,
+		index:     newIndex(),
+		graves:    newGraves(),
+		decisions: newDecisions(),
+	}
+}
+
+// Head returns the first offset that is not folded yet.
+func (s *State) Head() record.Offset { return s.head }
+
+// Chain returns the hash over all entries before the head.
+func (s *State) Chain() uint64 { return s.chain }
+
+// Version returns the version in force.
+func (s *State) Version() record.Version { return s.version }
+
+// Level returns the newest record schema that the fleet accepts.
+func (s *State) Level() record.Schema { return s.level }
+
+// Horizon returns the oldest base version that is accepted from a change set whose base is not the
+// version in force.
+func (s *State) Horizon() record.Version { return s.horizon }
+
+// Len returns the number of records in force.
+func (s *State) Len() int { return len(s.index.records) }
+
+// Outcome returns the decision on a publish, and false when it is undecided or no longer remembered.
+func (s *State) Outcome(id record.PublishID) (record.Outcome, bool) { return s.decisions.get(id) }
+
+// Snapshot returns the configuration in force. It stays the same until the version changes.
+func (s *State) Snapshot() *Snapshot {
+	if s.snapshot == nil {
+		s.snapshot = NewSnapshot(s.version, s.level, s.index.plain())
+	}
+	return s.snapshot
+}
+
+// Apply folds the entry at the head. An entry below the head changes nothing. The error is a *GapError or
+// a *LevelError, and then nothing has changed.
+func (s *State) Apply(e record.Entry) (Result, error) {
+	skip, err := s.policy.order(s, e.Offset())
+	if skip || err != nil {
+		return Result{}, err
+	}
+	result, err := s.fold(e)
+	if err != nil {
+		return Result{}, err
+	}
+	s.trail.add(s.head, s.chain)
+	s.chain = s.policy.link(s.chain, e)
+	s.head = e.Offset() + 1
+	return result, nil
+}
+
+func (s *State) checkOrder(offset record.Offset) (bool, error) {
+	if offset < s.head {
+		return true, nil
+	}
+	if offset > s.head {
+		return false, &GapError{want: s.head, got: offset}
+	}
+	return false, nil
+}
+
+func (s *State) fold(e record.Entry) (Result, error) {
+	item, err := codec.DecodeAt(e.Data(), s.level)
+	var entryErr *codec.EntryError
+	if errors.As(err, &entryErr) {
+		return s.refuse(e.Offset(), entryErr.Publish(), entryErr.Faults()), nil
+	}
+	if chunk, ok := item.Chunk(); ok {
+		return s.verify(chunk), nil
+	}
+	change, _ := item.Change()
+	return s.decide(e.Offset(), change)
+}
+
+func (s *State) decide(offset record.Offset, c record.ChangeSet) (Result, error) {
+	if outcome, ok := s.policy.recall(s, c.Publish()); ok {
+		return Result{kind: ResultDuplicate, outcome: outcome}, nil
+	}
+	if faults := s.review(c); len(faults) > 0 {
+		return s.refuse(offset, c.Publish(), faults), nil
+	}
+	if c.Level() > s.newest {
+		return Result{}, &LevelError{level: c.Level()}
+	}
+	version := record.Version(offset + 1)
+	s.policy.commit(s, c, codec.Stamp{Version: version, Publish: c.Publish()})
+	outcome := record.Accepted(c.Publish(), version)
+	s.remember(offset, outcome)
+	return Result{kind: ResultAccepted, outcome: outcome}, nil
+}
+
+// refuse returns the outcome of a refusal. A publish that was decided before keeps its first outcome.
+func (s *State) refuse(offset record.Offset, id record.PublishID, faults []record.Fault) Result {
+	if id == (record.PublishID{}) {
+		return Result{kind: ResultMalformed}
+	}
+	if outcome, ok := s.policy.recall(s, id); ok {
+		return Result{kind: ResultDuplicate, outcome: outcome}
+	}
+	outcome := record.Refused(id, s.version, boundFaults(faults))
+	s.remember(offset, outcome)
+	return Result{kind: ResultRefused, outcome: outcome}
+}
+
+func (s *State) remember(offset record.Offset, outcome record.Outcome) {
+	s.raiseHorizon(s.decisions.add(codec.StampedResult{Offset: offset, Outcome: outcome}))
+}
+
+func (s *State) raiseHorizon(v record.Version) { s.horizon = max(s.horizon, v) }
+
+func (s *State) commit(c record.ChangeSet, stamp codec.Stamp) {
+	for _, id := range c.Removes() {
+		s.index.remove(id)
+		s.raiseHorizon(s.graves.add(codec.Tombstone{ID: id, Stamp: stamp}))
+	}
+	s.index.putAll(c.Puts(), stamp)
+	if c.Level() > s.level {
+		s.level = c.Level()
+		s.levelStamp = stamp
+	}
+	s.version = stamp.Version
+	s.snapshot = nil
+}
