catalog: state the promises as properties, each seen to fail when broken

Cause: a route of schema 1 lost fields of schema 2 on the way, which the property 'whole or nothing' found; a retry after its outcome was forgotten was refused though its records still bore its stamp.

--- a/catalog/chain.go
+++ b/catalog/chain.go
@@ -29,5 +29,5 @@
 	if c.Head() > s.head || ok && chain != c.Chain() {
 		return Result{kind: ResultMismatch}
 	}
-	return Result{kind: ResultCheckpoint}
+	return Result{kind: ResultCheckpoint, covered: c.Head(), last: c.Index() == c.Count()-1}
 }
--- a/catalog/checkpoint.go
+++ b/catalog/checkpoint.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/bambooknot/bambooknot/codec"
@@ -22,6 +23,30 @@
 	return codec.EncodeChunks(writer, s.head, s.chain, data)
 }
 
+// bridgeMark sets the chain of a bridged state apart from that of any fold.
+const bridgeMark = "bridge"
+
+// Bridge returns a state that goes on at first as if the entries from the head to there did not exist. It serves an
+// operator who gives up entries that were trimmed before any node had read them, and nothing else: the result's
+// checkpoint, once in the log, is what all nodes behind the gap load. The error is a *GapError if first does not
+// lie above the head.
+func (s *State) Bridge(first record.Offset) (*State, error) {
+	if first <= s.head {
+		return nil, &GapError{want: s.head, got: first}
+	}
+	data, err := s.Checkpoint()
+	if err != nil {
+		return nil, err
+	}
+	b, err := restore(data, s.newest, s.policy)
+	if err != nil {
+		return nil, err
+	}
+	b.chain = linkEntry(s.chain, record.NewEntry(first, []byte(bridgeMark)))
+	b.head = first
+	return b, nil
+}
+
 func (s *State) export() codec.Checkpoint {
 	return codec.Checkpoint{
 		Head: s.head, Chain: s.chain, Version: s.version,
@@ -36,6 +61,10 @@
 
 // RestoreKnowing is Restore for a binary whose newest schema is given.
 func RestoreKnowing(data []byte, newest record.Schema) (*State, error) {
+	return restore(data, newest, defaultPolicy())
+}
+
+func restore(data []byte, newest record.Schema, p policy) (*State, error) {
 	level, err := codec.CheckpointLevel(data)
 	if err != nil {
 		return nil, err
@@ -47,9 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := NewKnowing(newest)
+	s := newState(newest, p)
 	s.fill(c)
-	if err := s.audit(); err != nil {
+	if err := s.audit(c); err != nil {
 		return nil, codec.NewCheckpointError("audit", err)
 	}
 	return s, nil
@@ -71,21 +100,38 @@
 
 // audit checks what the fold guarantees, so that no damaged or forged checkpoint yields a configuration
 // that could not have been accepted.
-func (s *State) audit() error {
-	if uint64(s.version) > uint64(s.head) || s.horizon > record.Version(s.head) {
+func (s *State) audit(c codec.Checkpoint) error {
+	if uint64(s.version) > uint64(s.head) || uint64(s.horizon) > uint64(s.head) {
 		return fmt.Errorf("version %d or horizon %d is above head %d", s.version, s.horizon, s.head)
 	}
 	if s.level < InitialLevel {
 		return fmt.Errorf("level %d is below %d", s.level, InitialLevel)
 	}
-	for id, held := range s.index.records {
-		if held.Stamp.Version > s.version {
-			return fmt.Errorf("%s is stamped above version %d", id, s.version)
+	if len(c.Records) > MaxRecords || len(c.Tombstones) > s.graves.max || len(c.Outcomes) > s.decisions.max {
+		return errors.New("there are more records, tombstones or outcomes than the fold keeps")
+	}
+	for i, r := range c.Records {
+		if i > 0 && c.Records[i-1].Record.ID().Compare(r.Record.ID()) >= 0 {
+			return fmt.Errorf("%s is out of order", r.Record.ID())
 		}
-		for _, ref := range held.Record.References() {
-			if _, ok := s.index.records[ref]; !ok {
-				return fmt.Errorf("%s refers to missing %s", id, ref)
-			}
+		if err := s.auditRecord(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *State) auditRecord(r codec.Stamped) error {
+	id := r.Record.ID()
+	if r.Stamp.Version > s.version {
+		return fmt.Errorf("%s is stamped above version %d", id, s.version)
+	}
+	if route, ok := r.Record.(record.Route); ok && s.index.paths[route.Path()] != id {
+		return fmt.Errorf("%s shares its path", id)
+	}
+	for _, ref := range r.Record.References() {
+		if _, ok := s.index.records[ref]; !ok {
+			return fmt.Errorf("%s refers to missing %s", id, ref)
 		}
 	}
 	return nil
--- a/catalog/memory.go
+++ b/catalog/memory.go
@@ -16,6 +16,7 @@
 	MaxOutcomeBytes = 512 << 10
 	// MaxTombstones is the number of removals remembered.
 	MaxTombstones = 2048
+
 	// trailLength is the number of past chains against which checkpoints are verified.
 	trailLength = 1024
 )
@@ -25,10 +26,11 @@
 	queue []codec.StampedResult
 	byID  map[record.PublishID]record.Outcome
 	bytes int
+	max   int
 }
 
-func newDecisions() decisions {
-	return decisions{byID: make(map[record.PublishID]record.Outcome)}
+func newDecisions(limit int) decisions {
+	return decisions{byID: make(map[record.PublishID]record.Outcome), max: limit}
 }
 
 func (d *decisions) get(id record.PublishID) (record.Outcome, bool) {
@@ -42,7 +44,7 @@
 	d.byID[r.Outcome.Publish()] = r.Outcome
 	d.bytes += outcomeBytes(r.Outcome)
 	evicted := 0
-	for len(d.queue)-evicted > MaxOutcomes || d.bytes > MaxOutcomeBytes {
+	for len(d.queue)-evicted > d.max || d.bytes > MaxOutcomeBytes {
 		old := d.queue[evicted]
 		delete(d.byID, old.Outcome.Publish())
 		d.bytes -= outcomeBytes(old.Outcome)
@@ -69,15 +71,16 @@
 type graves struct {
 	queue []codec.Tombstone
 	byID  map[record.ID]codec.Stamp
+	max   int
 }
 
-func newGraves() graves { return graves{byID: make(map[record.ID]codec.Stamp)} }
+func newGraves(limit int) graves { return graves{byID: make(map[record.ID]codec.Stamp), max: limit} }
 
 // add remembers a removal and returns the version of the one forgotten for it, or zero.
 func (g *graves) add(t codec.Tombstone) record.Version {
 	g.queue = append(g.queue, t)
 	g.byID[t.ID] = t.Stamp
-	if len(g.queue) <= MaxTombstones {
+	if len(g.queue) <= g.max {
 		return 0
 	}
 	old := g.queue[0]
--- a/catalog/result.go
+++ b/catalog/result.go
@@ -36,6 +36,8 @@
 type Result struct {
 	kind    ResultKind
 	outcome record.Outcome
+	covered record.Offset
+	last    bool
 }
 
 // Kind returns what the entry did.
@@ -46,3 +48,9 @@
 	decided := r.kind == ResultAccepted || r.kind == ResultRefused || r.kind == ResultDuplicate
 	return r.outcome, decided
 }
+
+// Covered returns the offset up to which a checkpoint covers the stream, if the entry is the last part of one
+// that agrees with the fold, and false for any other entry.
+func (r Result) Covered() (record.Offset, bool) {
+	return r.covered, r.kind == ResultCheckpoint && r.last
+}
--- a/catalog/review.go
+++ b/catalog/review.go
@@ -110,7 +110,7 @@
 	}
 	if c.Base() < v.state.horizon && c.Base() < v.state.version {
 		v.add(record.ReasonConflict, record.ID{}, "base",
-			"base version %d is too old: changes after it are remembered only from version %d on", c.Base(), v.state.horizon)
+			"base version %d is too old: decisions and removals are remembered from version %d on", c.Base(), v.state.horizon)
 	}
 }
 
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -29,39 +29,20 @@
 	snapshot   *Snapshot
 }
 
-// policy holds the steps of the fold that tests replace by broken ones.
-type policy struct {
-	order  func(s *State, offset record.Offset) (skip bool, err error)
-	link   func(chain uint64, e record.Entry) uint64
-	recall func(s *State, id record.PublishID) (record.Outcome, bool)
-	rules  []rule
-	commit func(s *State, c record.ChangeSet, stamp codec.Stamp)
-	export func(s *State) codec.Checkpoint
-}
-
-func defaultPolicy() policy {
-	return policy{
-		order:  (*State).checkOrder,
-		link:   linkEntry,
-		recall: (*State).Outcome,
-		rules:  defaultRules(),
-		commit: (*State).commit,
-		export: (*State).export,
-	}
-}
-
 // New returns the state before the first entry, for a binary that understands record.SchemaNewest.
 func New() *State { return NewKnowing(record.SchemaNewest) }
 
 // NewKnowing returns the state before the first entry, for a binary whose newest schema is given.
-func NewKnowing(newest record.Schema) *State {
+func NewKnowing(newest record.Schema) *State { return newState(newest, defaultPolicy()) }
+
+func newState(newest record.Schema, p policy) *State {
 	return &State{
-		policy:    defaultPolicy(),
+		policy:    p,
 		newest:    newest,
 		level:     InitialLevel,
 		index:     newIndex(),
-		graves:    newGraves(),
-		decisions: newDecisions(),
+		graves:    newGraves(p.tombstones),
+		decisions: newDecisions(p.outcomes),
 	}
 }
 
@@ -123,7 +104,7 @@
 }
 
 func (s *State) fold(e record.Entry) (Result, error) {
-	item, err := codec.DecodeAt(e.Data(), s.level)
+	item, err := s.policy.decode(s, e.Data())
 	var entryErr *codec.EntryError
 	if errors.As(err, &entryErr) {
 		return s.refuse(e.Offset(), entryErr.Publish(), entryErr.Faults()), nil
@@ -139,6 +120,9 @@
 	if outcome, ok := s.policy.recall(s, c.Publish()); ok {
 		return Result{kind: ResultDuplicate, outcome: outcome}, nil
 	}
+	if stamp, ok := s.trace(c); ok {
+		return Result{kind: ResultDuplicate, outcome: record.Accepted(c.Publish(), stamp.Version)}, nil
+	}
 	if faults := s.review(c); len(faults) > 0 {
 		return s.refuse(offset, c.Publish(), faults), nil
 	}
@@ -152,6 +136,22 @@
 	return Result{kind: ResultAccepted, outcome: outcome}, nil
 }
 
+// trace finds a publish whose outcome is forgotten by what it left: a record or tombstone that still bears its
+// stamp shows that it was accepted.
+func (s *State) trace(c record.ChangeSet) (codec.Stamp, bool) {
+	for _, r := range c.Puts() {
+		if stamp := s.index.records[r.ID()].Stamp; stamp.Version > 0 && stamp.Publish == c.Publish() {
+			return stamp, true
+		}
+	}
+	for _, id := range c.Removes() {
+		if stamp := s.graves.byID[id]; stamp.Version > 0 && stamp.Publish == c.Publish() {
+			return stamp, true
+		}
+	}
+	return codec.Stamp{}, false
+}
+
 // refuse returns the outcome of a refusal. A publish that was decided before keeps its first outcome.
 func (s *State) refuse(offset record.Offset, id record.PublishID, faults []record.Fault) Result {
 	if id == (record.PublishID{}) {
@@ -166,15 +166,18 @@
 }
 
 func (s *State) remember(offset record.Offset, outcome record.Outcome) {
-	s.raiseHorizon(s.decisions.add(codec.StampedResult{Offset: offset, Outcome: outcome}))
+	s.policy.forget(s, s.decisions.add(codec.StampedResult{Offset: offset, Outcome: outcome}))
 }
 
-func (s *State) raiseHorizon(v record.Version) { s.horizon = max(s.horizon, v) }
+// forget notes that something decided up to version v is no longer remembered.
+func (s *State) forget(v record.Version) { s.horizon = max(s.horizon, v) }
+
+func (s *State) decode(data []byte) (codec.Item, error) { return codec.DecodeAt(data, s.level) }
 
 func (s *State) commit(c record.ChangeSet, stamp codec.Stamp) {
 	for _, id := range c.Removes() {
 		s.index.remove(id)
-		s.raiseHorizon(s.graves.add(codec.Tombstone{ID: id, Stamp: stamp}))
+		s.policy.forget(s, s.graves.add(codec.Tombstone{ID: id, Stamp: stamp}))
 	}
 	s.index.putAll(c.Puts(), stamp)
 	if c.Level() > s.level {
--- /dev/null
+++ b/catalog/world_test.go
@@ -0,0 +1,177 @@
+package catalog
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+const testSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", testSeed)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// smallPolicy forgets early, so that short logs pass the horizon.
+func smallPolicy() policy {
+	p := defaultPolicy()
+	p.outcomes, p.tombstones = 5, 3
+	return p
+}
+
+// schema3 is a schema of a later release.
+const schema3 = record.SchemaNewest + 1
+
+// world is a log as racing, retrying and mistaken operators fill it, with what was meant by its entries.
+type world struct {
+	entries []record.Entry
+	changes map[record.Offset]record.ChangeSet // as published; absent for other entries
+	cuts    []int                              // random numbers for the tests' own choices
+}
+
+func (w world) cut(i, n int) int { return w.cuts[i%len(w.cuts)] % n }
+
+// builder folds what it appends, so that operators choose plausible bases.
+type builder struct {
+	t     *rapid.T
+	state *State
+	world world
+	past  []record.ChangeSet
+}
+
+func drawWorld(t *rapid.T) world {
+	b := &builder{t: t, state: newState(schema3, smallPolicy())}
+	b.world.changes = make(map[record.Offset]record.ChangeSet)
+	steps := rapid.IntRange(4, 40).Draw(t, "steps")
+	for range steps {
+		b.step()
+	}
+	b.world.cuts = rapid.SliceOfN(rapid.IntRange(0, 1<<20), 16, 16).Draw(t, "cuts")
+	return b.world
+}
+
+func (b *builder) step() {
+	switch n := rapid.IntRange(0, 19).Draw(b.t, "kind"); {
+	case n < 14:
+		b.publish(b.newChange())
+	case n < 16 && len(b.past) > 0:
+		b.publish(rapid.SampledFrom(b.past).Draw(b.t, "retry"))
+	case n == 16:
+		b.add(rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(b.t, "garbage"))
+	case n == 17:
+		b.checkpoint()
+	case n == 18:
+		b.publish(b.raise())
+	default:
+		b.race()
+	}
+}
+
+func (b *builder) add(data []byte) {
+	e := record.NewEntry(b.state.Head(), data)
+	if _, err := b.state.Apply(e); err != nil {
+		return // above schema3; nobody could go on
+	}
+	b.world.entries = append(b.world.entries, e)
+}
+
+func (b *builder) publish(c record.ChangeSet) {
+	data, err := codec.EncodeChange(c)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	offset := b.state.Head()
+	b.add(data)
+	if b.state.Head() > offset {
+		b.world.changes[offset] = c
+		b.past = append(b.past, c)
+	}
+}
+
+func (b *builder) publishID() record.PublishID {
+	return uuid.UUID{0: 1, 14: byte(len(b.past) >> 8), 15: byte(len(b.past) + 1)}
+}
+
+func (b *builder) base() record.Version {
+	v := b.state.Version()
+	if rapid.IntRange(0, 2).Draw(b.t, "stale") > 0 {
+		return v
+	}
+	return record.Version(rapid.Uint64Range(0, uint64(v)+1).Draw(b.t, "base"))
+}
+
+func (b *builder) raise() record.ChangeSet {
+	level := record.Schema(rapid.IntRange(1, 4).Draw(b.t, "level"))
+	return record.NewChangeSet(b.publishID(), "ana", b.base(), nil, nil).WithLevel(level)
+}
+
+func (b *builder) newChange() record.ChangeSet {
+	var records []record.Record
+	for range rapid.IntRange(0, 4).Draw(b.t, "puts") {
+		records = append(records, drawRecord(b.t))
+	}
+	var removes []record.ID
+	for range rapid.IntRange(0, 1).Draw(b.t, "removes") {
+		removes = append(removes, drawRecord(b.t).ID())
+	}
+	return record.NewChangeSet(b.publishID(), "ana", b.base(), records, removes)
+}
+
+// race appends two change sets to one record, prepared against one version.
+func (b *builder) race() {
+	base := b.state.Version()
+	for _, slots := range []int{1, 2} {
+		puts := []record.Record{record.NewService(record.Schema2, "s0", slots)}
+		b.publish(record.NewChangeSet(b.publishID(), "ana", base, puts, nil))
+	}
+}
+
+func (b *builder) checkpoint() {
+	entries, err := b.state.CheckpointEntries(uint64(rapid.IntRange(1, 2).Draw(b.t, "writer")))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for _, data := range entries {
+		b.add(data)
+	}
+}
+
+func drawRecord(t *rapid.T) record.Record {
+	n := rapid.IntRange(0, 2).Draw(t, "number")
+	schema := record.Schema(rapid.SampledFrom([]int{1, 2, 2, 2, 2, 2, 2, 3}).Draw(t, "schema"))
+	switch rapid.IntRange(0, 5).Draw(t, "record") {
+	case 0, 1:
+		return record.NewService(schema, fmt.Sprint("s", n), rapid.IntRange(-1, 9).Draw(t, "slots"))
+	case 2:
+		rate := rapid.SampledFrom([]float64{1, 2, 5, 0, math.NaN()}).Draw(t, "rate")
+		return record.NewResource(schema, fmt.Sprint("x", n), rate, 1)
+	case 3:
+		return codec.NewPlaceholder(record.NewID(record.KindRoute, fmt.Sprint("r", n)), schema3)
+	}
+	path := rapid.SampledFrom([]string{"/a", "/b", "/c", "/d", "/e", "/f", "/g", "bad"}).Draw(t, "path")
+	var resources []string
+	if rapid.Bool().Draw(t, "limited") {
+		resources = []string{fmt.Sprint("x", rapid.IntRange(0, 2).Draw(t, "resource"))}
+	}
+	target := rapid.SampledFrom([]float64{0.5, 0.99, 0.9, 1.5}).Draw(t, "target")
+	service := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service"))
+	r := record.NewRoute2(fmt.Sprint("r", n), path, service, true, time.Second, resources, record.NewObjective(target, time.Second))
+	if schema == record.Schema1 {
+		return record.NewRoute(r.Name(), r.Path(), r.Service(), true)
+	}
+	return r.WithSchema(schema)
+}
--- a/codec/change.go
+++ b/codec/change.go
@@ -35,8 +35,9 @@
 // Chunk returns the chunk of a checkpoint, and false when the entry holds none.
 func (i Item) Chunk() (Chunk, bool) { return i.chunk, i.isChunk }
 
-// EncodeChange returns the entry for a change set. It does not apply size limits: the fleet refuses a
-// change set that exceeds them, and catalog.State.Check tells so beforehand.
+// EncodeChange returns the entry for a change set. It fails if a route has fields that its schema cannot hold. It
+// does not apply size limits: the fleet refuses a change set that exceeds them, and catalog.State.Check tells so
+// beforehand.
 func EncodeChange(c record.ChangeSet) ([]byte, error) {
 	w := wireChange{
 		Operator: c.Operator(), Base: uint64(c.Base()), Level: uint16(c.Level()),
--- a/codec/record.go
+++ b/codec/record.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -28,7 +29,12 @@
 // References implements record.Record. Those of the record are not known.
 func (Placeholder) References() []record.ID { return nil }
 
+var errFields = errors.New("the schema has no place for the route's timeout, resources or objective")
+
 func toWireRecord(r record.Record) (wireRecord, error) {
+	if route, ok := r.(record.Route); ok && !fits(route) {
+		return wireRecord{}, errFields
+	}
 	body, err := encMode.Marshal(wireBody(r))
 	if err != nil {
 		return wireRecord{}, err
@@ -37,6 +43,12 @@
 	return wireRecord{Kind: uint8(id.Kind()), Name: id.Name(), Schema: uint16(r.Schema()), Body: body}, nil
 }
 
+// fits tells whether the route's schema holds all of its fields, so that none is lost on the way.
+func fits(r record.Route) bool {
+	plain := len(r.Resources()) == 0 && r.Objective().IsZero() && r.Timeout() == record.DefaultTimeout
+	return plain || r.Schema() > record.Schema1
+}
+
 func wireBody(r record.Record) any {
 	switch r := r.(type) {
 	case record.Service:
