--- a/catalog/loader.go
+++ b/catalog/loader.go
@@ -11,6 +11,7 @@
 // retained one on, finds a checkpoint that covers at least all entries before, restores it and folds the rest.
 type Loader struct {
 	newest   record.Schema
+	policy   policy
 	start    record.Offset
 	floor    record.Version
 	state    *State
@@ -26,9 +27,13 @@
 // NewLoaderAbove returns a Loader for a binary that holds version floor already and therefore takes no
 // checkpoint below it.
 func NewLoaderAbove(start record.Offset, floor record.Version, newest record.Schema) *Loader {
-	l := &Loader{newest: newest, start: start, floor: floor}
+	return newLoader(start, floor, newest, defaultPolicy())
+}
+
+func newLoader(start record.Offset, floor record.Version, newest record.Schema, p policy) *Loader {
+	l := &Loader{newest: newest, policy: p, start: start, floor: floor}
 	if start == 0 {
-		l.state = NewKnowing(newest)
+		l.state = newState(newest, p)
 	}
 	return l
 }
@@ -100,10 +105,10 @@
 
 // restore returns nil when the checkpoint is sound but useless.
 func (l *Loader) restore(c codec.Chunk, data []byte) (*State, error) {
-	if c.Head() < l.start || c.Head() > l.Next() {
+	if !l.policy.usable(l, c) {
 		return nil, nil
 	}
-	s, err := RestoreKnowing(data, l.newest)
+	s, err := restore(data, l.newest, l.policy)
 	if err != nil {
 		return nil, err
 	}
@@ -113,10 +118,13 @@
 	return s, nil
 }
 
+// usable tells whether the entries from start on continue the checkpoint, which can't cover itself.
+func (l *Loader) usable(c codec.Chunk) bool { return c.Head() >= l.start && c.Head() < l.Next() }
+
 func (l *Loader) resume(s *State) error {
-	rest := l.entries[s.head-l.start:]
+	entries := l.entries
 	l.state, l.entries, l.parts = s, nil, assembly{}
-	return l.Add(rest)
+	return l.Add(entries)
 }
 
 // End tells the Loader that there are no entries from Next on. It returns a *LostError if there is no state.
--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -16,6 +16,7 @@
 	commit func(s *State, c record.ChangeSet, stamp codec.Stamp)
 	forget func(s *State, v record.Version)
 	export func(s *State) codec.Checkpoint
+	usable func(l *Loader, c codec.Chunk) bool
 
 	outcomes   int
 	tombstones int
@@ -31,6 +32,7 @@
 		commit: (*State).commit,
 		forget: (*State).forget,
 		export: (*State).export,
+		usable: (*Loader).usable,
 
 		outcomes:   MaxOutcomes,
 		tombstones: MaxTombstones,
