--- a/codec/checkpoint.go
+++ b/codec/checkpoint.go
@@ -78,12 +78,15 @@
 	if len(body) > MaxCheckpoint {
 		return nil, fmt.Errorf("encode checkpoint: %s", sizeDetail("the state", MaxCheckpoint))
 	}
-	packed := compress(body)
+	return seal(c.Level, compress(body)), nil
+}
+
+func seal(level record.Schema, packed []byte) []byte {
 	data := make([]byte, checkpointHeader, checkpointHeader+len(packed))
 	data[0] = checkpointFormat
-	binary.BigEndian.PutUint16(data[1:], uint16(c.Level))
-	binary.BigEndian.PutUint64(data[3:], checkpointSum(c.Level, packed))
-	return append(data, packed...), nil
+	binary.BigEndian.PutUint16(data[1:], uint16(level))
+	binary.BigEndian.PutUint64(data[3:], checkpointSum(level, packed))
+	return append(data, packed...)
 }
 
 func checkpointSum(level record.Schema, packed []byte) uint64 {
--- a/codec/record.go
+++ b/codec/record.go
@@ -46,7 +46,7 @@
 // fits tells whether the route's schema holds all of its fields, so that none is lost on the way.
 func fits(r record.Route) bool {
 	plain := len(r.Resources()) == 0 && r.Objective().IsZero() && r.Timeout() == record.DefaultTimeout
-	return plain || r.Schema() > record.Schema1
+	return plain || r.Schema() != record.Schema1
 }
 
 func wireBody(r record.Record) any {
