--- /dev/null
+++ b/catalog/bench_test.go
@@ -0,0 +1,111 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+var sizes = []int{100, 1000, 5000}
+
+// filled returns a state of n records: a service for 20 routes.
+func filled(b *testing.B, n int) *State {
+	s := New()
+	for i := 0; s.Len() < n; i++ {
+		name := fmt.Sprint("service-", i)
+		records := puts(service(name))
+		for j := range 19 {
+			records = append(records, benchRoute(i*20+j, name))
+		}
+		id := record.PublishID{4, byte(i >> 8), byte(i)}
+		applyBench(b, s, record.NewChangeSet(id, "ana", s.Version(), records, nil))
+	}
+	return s
+}
+
+func benchRoute(i int, service string) record.Record {
+	o := record.NewObjective(0.999, 300*time.Millisecond)
+	return record.NewRoute2(fmt.Sprint("route-", i), fmt.Sprint("/path/to/", i), service, true, 2*time.Second, nil, o)
+}
+
+func applyBench(b *testing.B, s *State, c record.ChangeSet) {
+	data, err := codec.EncodeChange(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	result, err := s.Apply(record.NewEntry(s.Head(), data))
+	if err != nil || result.Kind() != ResultAccepted {
+		b.Fatal(result, err)
+	}
+}
+
+// BenchmarkApply folds a change set of one route.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint("records=", n), func(b *testing.B) { benchApply(b, n, func(*State) {}) })
+	}
+}
+
+// BenchmarkApplySnapshot also makes the snapshot for traffic.
+func BenchmarkApplySnapshot(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint("records=", n), func(b *testing.B) { benchApply(b, n, func(s *State) { s.Snapshot() }) })
+	}
+}
+
+func benchApply(b *testing.B, n int, after func(s *State)) {
+	s := filled(b, n)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		b.StopTimer()
+		id := record.PublishID{5, byte(i >> 16), byte(i >> 8), byte(i)}
+		data, err := codec.EncodeChange(record.NewChangeSet(id, "ana", s.Version(), puts(benchRoute(i%19, "service-0")), nil))
+		if err != nil {
+			b.Fatal(err)
+		}
+		e := record.NewEntry(s.Head(), data)
+		b.StartTimer()
+		result, err := s.Apply(e)
+		if err != nil || result.Kind() != ResultAccepted {
+			b.Fatal(result, err)
+		}
+		after(s)
+	}
+}
+
+func BenchmarkCheckpoint(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint("records=", n), func(b *testing.B) {
+			s := filled(b, n)
+			size := 0
+			for b.Loop() {
+				data, err := s.Checkpoint()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint("records=", n), func(b *testing.B) {
+			data, err := filled(b, n).Checkpoint()
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/catalog/fuzz_test.go
@@ -0,0 +1,105 @@
+package catalog
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// FuzzApply folds arbitrary bytes: what was not accepted leaves version and records as they were, and the state that
+// results has a checkpoint that can be restored.
+func FuzzApply(f *testing.F) {
+	fix := newFixture(f)
+	data, err := codec.EncodeChange(fix.change(0, puts(service("a"), route("r", "/r", "a"))))
+	qt.Assert(f, err, qt.IsNil)
+	fix.put(service("b"))
+	f.Add(data)
+	f.Add(fix.checkpoint(1)[0])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := foldAll(New(), fix.log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := s.Snapshot()
+		result, err := s.Apply(record.NewEntry(s.Head(), data))
+		var level *LevelError
+		if err != nil && !errors.As(err, &level) {
+			t.Fatalf("error of type %T", err)
+		}
+		if result.Kind() != ResultAccepted && s.Snapshot() != before {
+			t.Fatalf("%s changed the configuration", result.Kind())
+		}
+		checkRestores(t, s)
+	})
+}
+
+func checkRestores(t *testing.T, s *State) {
+	data, err := s.Checkpoint()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Restore(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := sameState(s, restored); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func FuzzRestore(f *testing.F) {
+	fix := newFixture(f)
+	fix.put(service("a"), route("r", "/r", "a"))
+	data, err := fix.state.Checkpoint()
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Restore(data)
+		var checkpointErr *codec.CheckpointError
+		var level *LevelError
+		switch {
+		case err == nil:
+			checkRestores(t, s)
+		case !errors.As(err, &checkpointErr) && !errors.As(err, &level):
+			t.Fatalf("error of type %T", err)
+		}
+	})
+}
+
+// TestRestoreAudits restores checkpoints whose hash is right and whose content no fold can have made.
+func TestRestoreAudits(t *testing.T) {
+	stamp := codec.Stamp{Version: 1}
+	stamped := func(records ...record.Record) []codec.Stamped {
+		var all []codec.Stamped
+		for _, r := range records {
+			all = append(all, codec.Stamped{Record: r, Stamp: stamp})
+		}
+		return all
+	}
+	for _, test := range []struct {
+		c    codec.Checkpoint
+		want string
+	}{
+		{codec.Checkpoint{Version: 1, Level: 2}, ".*is above head 0"},
+		{codec.Checkpoint{Horizon: 1, Level: 2}, ".*is above head 0"},
+		{codec.Checkpoint{Level: 1}, ".*level 1 is below 2"},
+		{codec.Checkpoint{Level: 2, Head: 1, Records: stamped(service("a"))}, ".*stamped above version 0"},
+		{codec.Checkpoint{Level: 2, Head: 1, Version: 1, Records: stamped(route("r", "/r", "a"))}, ".*refers to missing service/a"},
+		{codec.Checkpoint{Level: 2, Head: 1, Version: 1, Records: stamped(service("b"), service("a"))}, ".*service/a is out of order"},
+		{codec.Checkpoint{Level: 2, Head: 1, Version: 1, Records: stamped(service("a"), service("a"))}, ".*service/a is out of order"},
+		{codec.Checkpoint{Level: 2, Head: 1, Version: 1, Records: stamped(service("a"), route("r", "/r", "a"), route("x", "/r", "a"))}, ".*shares its path"},
+		{codec.Checkpoint{Level: 2, Tombstones: make([]codec.Tombstone, MaxTombstones+1)}, ".*than the fold keeps"},
+	} {
+		data, err := codec.EncodeCheckpoint(test.c)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = Restore(data)
+		qt.Check(t, err, qt.ErrorMatches, test.want)
+		var checkpointErr *codec.CheckpointError
+		qt.Check(t, err, qt.ErrorAs, &checkpointErr)
+	}
+}
