--- /dev/null
+++ b/standin/log_test.go
@@ -0,0 +1,237 @@
+package standin_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/platform"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/standin"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// logFixture is a stand-in log on a manual clock, served over loopback.
+type logFixture struct {
+	c      *qt.C
+	t      *testing.T
+	clock  *timer.Manual
+	log    *standin.Log
+	server *httptest.Server
+	client *platform.Log
+}
+
+func newLogFixture(t *testing.T, settings standin.LogSettings) *logFixture {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	f := &logFixture{c: qt.New(t), t: t, clock: clock, log: standin.NewLog(settings, clock.Service())}
+	f.server = httptest.NewServer(f.log)
+	f.client = platform.NewLog(netip.MustParseAddrPort(f.server.Listener.Addr().String()), f.server.Client())
+	t.Cleanup(f.server.Close)
+	t.Cleanup(f.log.Close)
+	return f
+}
+
+func (f *logFixture) append(text string) (record.Offset, error) {
+	return f.client.Append(f.t.Context(), message.StreamConfig, []byte(text))
+}
+
+func (f *logFixture) fill(n int) {
+	for i := range n {
+		_, err := f.append(fmt.Sprint("entry ", i))
+		f.c.Assert(err, qt.IsNil)
+	}
+}
+
+func (f *logFixture) read(from record.Offset, wait time.Duration) message.LogPage {
+	return f.client.Read(f.t.Context(), message.StreamConfig, from, wait)
+}
+
+func (f *logFixture) control(path string) int {
+	resp, err := f.server.Client().Post(f.server.URL+"/control/"+path, "", nil)
+	f.c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestLogAppendAndRead(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	f.fill(3)
+	page := f.read(1, 0)
+	f.c.Assert(page.Err(), qt.IsNil)
+	f.c.Assert(page.First(), qt.Equals, record.Offset(0))
+	f.c.Assert(page.Next(), qt.Equals, record.Offset(3))
+	f.c.Assert(page.Entries(), qt.HasLen, 2)
+	f.c.Assert(string(page.Entries()[1].Data()), qt.Equals, "entry 2")
+	f.c.Assert(f.client.Read(t.Context(), message.StreamRendezvous, 0, 0).Entries(), qt.HasLen, 0)
+	_, err := f.append("")
+	f.c.Assert(platform.ClassOf(err), qt.Equals, platform.ClassNotApplied)
+}
+
+func TestLogPagesAreBounded(t *testing.T) {
+	settings := standin.DefaultLogSettings()
+	settings.AppendsPerSecond = 1e6
+	f := newLogFixture(t, settings)
+	f.fill(platform.PageEntries + 5)
+	f.c.Assert(f.read(0, 0).Entries(), qt.HasLen, platform.PageEntries)
+	f.c.Assert(f.read(platform.PageEntries, 0).Entries(), qt.HasLen, 5)
+}
+
+func TestLogRetention(t *testing.T) {
+	settings := standin.DefaultLogSettings()
+	settings.Retain, settings.RetainAge = 4, time.Hour
+	f := newLogFixture(t, settings)
+	f.fill(6)
+	page := f.read(1, 0)
+	f.c.Assert(platform.ClassOf(page.Err()), qt.Equals, platform.ClassTrimmed)
+	f.c.Assert(page.First(), qt.Equals, record.Offset(2))
+	f.clock.Advance(time.Hour)
+	f.c.Assert(f.read(2, 0).Entries(), qt.HasLen, 4)
+	f.fill(1)
+	f.clock.Advance(time.Second)
+	page = f.read(2, 0)
+	f.c.Assert(page.First(), qt.Equals, record.Offset(6))
+	f.c.Assert(page.Next(), qt.Equals, record.Offset(7))
+}
+
+func TestLogAppendRate(t *testing.T) {
+	settings := standin.DefaultLogSettings()
+	settings.AppendsPerSecond = 100
+	f := newLogFixture(t, settings)
+	f.fill(10)
+	_, err := f.append("too many")
+	f.c.Assert(platform.ClassOf(err), qt.Equals, platform.ClassNotApplied)
+	f.c.Assert(err, qt.ErrorMatches, ".*status 429.*")
+	f.clock.Advance(50 * time.Millisecond)
+	f.fill(5)
+	_, err = f.append("too many")
+	f.c.Assert(err, qt.ErrorMatches, ".*status 429.*")
+	f.c.Assert(f.read(0, 0).Next(), qt.Equals, record.Offset(15))
+}
+
+func TestLogEntrySize(t *testing.T) {
+	settings := standin.DefaultLogSettings()
+	settings.MaxEntry = 10
+	f := newLogFixture(t, settings)
+	_, err := f.append("01234567890")
+	f.c.Assert(err, qt.ErrorMatches, ".*status 413.*")
+	f.c.Assert(platform.ClassOf(err), qt.Equals, platform.ClassNotApplied)
+}
+
+func TestLogOutages(t *testing.T) {
+	for kind, want := range map[string]platform.Class{"refuse": platform.ClassNotApplied, "drop": platform.ClassUnknown} {
+		t.Run(kind, func(t *testing.T) {
+			f := newLogFixture(t, standin.DefaultLogSettings())
+			f.fill(2)
+			f.c.Assert(f.control("outage?kind="+kind), qt.Equals, http.StatusNoContent)
+			_, err := f.append("lost")
+			f.c.Assert(platform.ClassOf(err), qt.Equals, want)
+			f.c.Assert(platform.ClassOf(f.read(0, 0).Err()), qt.Equals, platform.ClassUnavailable)
+			f.c.Assert(f.control("outage?kind=off"), qt.Equals, http.StatusNoContent)
+			f.c.Assert(f.read(0, 0).Entries(), qt.HasLen, 2)
+		})
+	}
+}
+
+func TestLogHangsUntilOutageEnds(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	f.control("outage?kind=hang")
+	done := make(chan error)
+	go func() {
+		_, err := f.append("late")
+		done <- err
+	}()
+	f.control("outage?kind=off")
+	f.c.Assert(<-done, qt.IsNil)
+}
+
+func TestLogLosesAcks(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	f.fill(1)
+	f.control("lose-acks?count=1")
+	_, err := f.append("in doubt")
+	f.c.Assert(platform.ClassOf(err), qt.Equals, platform.ClassUnknown)
+	offset, err := f.append("known")
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(offset, qt.Equals, record.Offset(2))
+	f.c.Assert(string(f.read(1, 0).Entries()[0].Data()), qt.Equals, "in doubt")
+}
+
+// TestLogWaits has a reader wait; it gets the entry that arrives, or an empty page once its time is over.
+func TestLogWaits(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	pages := make(chan message.LogPage)
+	read := func() { pages <- f.read(0, time.Minute) }
+	go read()
+	f.fill(1)
+	f.c.Assert((<-pages).Entries(), qt.HasLen, 1)
+
+	go func() { pages <- f.read(1, 10*time.Second) }()
+	var page message.LogPage
+	for waiting := true; waiting; {
+		select {
+		case page = <-pages:
+			waiting = false
+		default:
+			f.clock.Advance(time.Second)
+		}
+	}
+	f.c.Assert(page.Err(), qt.IsNil)
+	f.c.Assert(page.Entries(), qt.HasLen, 0)
+	f.c.Assert(page.Next(), qt.Equals, record.Offset(1))
+}
+
+func TestLogOutageEndsWaits(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	pages := make(chan message.LogPage)
+	go func() { pages <- f.read(0, time.Minute) }()
+	f.c.Assert(f.log.SetOutage(standin.OutageRefuse), qt.IsNil)
+	f.c.Assert(platform.ClassOf((<-pages).Err()), qt.Equals, platform.ClassUnavailable)
+}
+
+func TestLogSlow(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	f.c.Assert(f.control("slow?delay=2s"), qt.Equals, http.StatusNoContent)
+	done := make(chan error)
+	start := f.clock.Now()
+	go func() {
+		_, err := f.append("slow")
+		done <- err
+	}()
+	for waiting := true; waiting; {
+		select {
+		case err := <-done:
+			f.c.Assert(err, qt.IsNil)
+			waiting = false
+		default:
+			f.clock.Advance(10 * time.Millisecond)
+		}
+	}
+	f.c.Assert(f.clock.Now().Sub(start) >= 2*time.Second, qt.IsTrue)
+}
+
+func TestLogControlRefuses(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	for _, path := range []string{"outage?kind=fire", "slow?delay=x", "lose-acks", "trim?before=-1"} {
+		f.c.Check(f.control(path), qt.Equals, http.StatusBadRequest, qt.Commentf("%s", path))
+	}
+	f.c.Assert(f.control("nothing"), qt.Equals, http.StatusNotFound)
+	resp, err := f.server.Client().Get(f.server.URL + "/control/status")
+	f.c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	f.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
+
+func TestLogCloseEndsWaits(t *testing.T) {
+	f := newLogFixture(t, standin.DefaultLogSettings())
+	pages := make(chan message.LogPage)
+	go func() { pages <- f.read(0, time.Minute) }()
+	f.log.Close()
+	f.c.Assert(platform.ClassOf((<-pages).Err()), qt.Equals, platform.ClassUnavailable)
+	f.c.Assert(platform.ClassOf(f.read(0, 0).Err()), qt.Equals, platform.ClassUnavailable)
+}
