--- a/catalog/bench_test.go
+++ b/catalog/bench_test.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,17 +13,22 @@
 
 var sizes = []int{100, 1000, 5000}
 
-// filled returns a state of n records: a service for 20 routes.
+// filled returns a state of n records, a service for 19 routes each, in which each record was put by a publish of
+// its own, as after years of use.
 func filled(b *testing.B, n int) *State {
 	s := New()
-	for i := 0; s.Len() < n; i++ {
-		name := fmt.Sprint("service-", i)
-		records := puts(service(name))
-		for j := range 19 {
-			records = append(records, benchRoute(i*20+j, name))
+	rnd := rand.New(rand.NewPCG(1, 2))
+	service := ""
+	for i := range n {
+		r := benchRoute(i, service)
+		if i%20 == 0 {
+			service = fmt.Sprint("service-", i/20)
+			r = record.NewService(record.Schema2, service, 18)
 		}
-		id := record.PublishID{4, byte(i >> 8), byte(i)}
-		applyBench(b, s, record.NewChangeSet(id, "ana", s.Version(), records, nil))
+		var id record.PublishID
+		binary.BigEndian.PutUint64(id[:], rnd.Uint64())
+		binary.BigEndian.PutUint64(id[8:], rnd.Uint64())
+		applyBench(b, s, record.NewChangeSet(id, "ana", s.Version(), puts(r), nil))
 	}
 	return s
 }
@@ -62,7 +69,7 @@
 	for i := 0; b.Loop(); i++ {
 		b.StopTimer()
 		id := record.PublishID{5, byte(i >> 16), byte(i >> 8), byte(i)}
-		data, err := codec.EncodeChange(record.NewChangeSet(id, "ana", s.Version(), puts(benchRoute(i%19, "service-0")), nil))
+		data, err := codec.EncodeChange(record.NewChangeSet(id, "ana", s.Version(), puts(benchRoute(1+i%19, "service-0")), nil))
 		if err != nil {
 			b.Fatal(err)
 		}
