catalog: bound the weight of a configuration

Cause: records within their limits could make up a state of 160 MB, whose checkpoint no node could have written.

--- a/catalog/index.go
+++ b/catalog/index.go
@@ -13,6 +13,7 @@
 	stamps    map[record.ID]codec.Stamp
 	referrers map[record.ID]map[record.ID]struct{} // by the ID referred to
 	paths     map[string]record.ID
+	weight    int // of all records, in bytes
 }
 
 func newIndex() index {
@@ -38,6 +39,7 @@
 	id := s.Record.ID()
 	x.records[id] = s.Record
 	x.stamps[id] = s.Stamp
+	x.weight += weightOf(s.Record)
 	if route, ok := s.Record.(record.Route); ok {
 		x.paths[route.Path()] = id
 	}
@@ -56,6 +58,7 @@
 	}
 	delete(x.records, id)
 	delete(x.stamps, id)
+	x.weight -= weightOf(held)
 	if route, ok := held.(record.Route); ok {
 		delete(x.paths, route.Path())
 	}
@@ -86,3 +89,20 @@
 	slices.SortFunc(all, func(a, b codec.Stamped) int { return a.Record.ID().Compare(b.Record.ID()) })
 	return all
 }
+
+// recordOverhead bounds what a record takes in a checkpoint beside its text, in bytes.
+const recordOverhead = 128
+
+// weightOf bounds the size of a record in a checkpoint, in bytes.
+func weightOf(r record.Record) int {
+	weight := recordOverhead + len(r.ID().Name())
+	route, ok := r.(record.Route)
+	if !ok {
+		return weight
+	}
+	weight += len(route.Path()) + len(route.Service())
+	for _, name := range route.Resources() {
+		weight += len(name) + 2 // a CBOR text has up to 2 bytes of header here
+	}
+	return weight
+}
--- a/catalog/review.go
+++ b/catalog/review.go
@@ -9,8 +9,13 @@
 	"github.com/bambooknot/bambooknot/record"
 )
 
-// MaxRecords is the number of records that a configuration may hold.
-const MaxRecords = 20000
+// Bounds of a configuration. They keep the whole state below codec.MaxCheckpoint.
+const (
+	// MaxRecords is the number of records.
+	MaxRecords = 20_000
+	// MaxWeight is the size of all records in bytes, as weightOf counts it.
+	MaxWeight = 8 << 20
+)
 
 // Bounds of an outcome, so that a refusal stays small however bad the change set is.
 const (
@@ -236,18 +241,29 @@
 }
 
 func (v *review) checkCount() {
-	count := len(v.state.index.records)
-	for id := range v.puts {
-		if _, held := v.state.index.records[id]; !held {
-			count++
+	count, weight := len(v.state.index.records), v.state.index.weight
+	for id, r := range v.puts {
+		count++
+		weight += weightOf(r)
+		if !v.removes[id] {
+			v.discount(id, &count, &weight)
 		}
 	}
 	for id := range v.removes {
-		if _, held := v.state.index.records[id]; held {
-			count--
-		}
+		v.discount(id, &count, &weight)
 	}
 	if count > MaxRecords {
 		v.add(record.ReasonTooLarge, record.ID{}, "", "the configuration would hold %d records, %d are allowed", count, MaxRecords)
 	}
+	if weight > MaxWeight {
+		v.add(record.ReasonTooLarge, record.ID{}, "", "the configuration would take %d bytes, %d are allowed", weight, MaxWeight)
+	}
+}
+
+// discount subtracts a record in force that the change set replaces or removes.
+func (v *review) discount(id record.ID, count, weight *int) {
+	if held, ok := v.state.index.records[id]; ok {
+		*count--
+		*weight -= weightOf(held)
+	}
 }
--- a/catalog/review_test.go
+++ b/catalog/review_test.go
@@ -191,6 +191,43 @@
 	f.c.Assert(f.state.Len(), qt.Equals, MaxRecords)
 }
 
+// TestHeaviestStateFits fills the state up to its bounds and checks that its checkpoint can still be written.
+func TestHeaviestStateFits(t *testing.T) {
+	f := newFixture(t)
+	resources := make([]string, maxResources)
+	for i := range resources {
+		resources[i] = fmt.Sprint(i, strings.Repeat("d", maxNameBytes-2))
+		f.state.index.put(codec.Stamped{Record: record.NewResource(2, resources[i], 0.1, maxBurst), Stamp: codec.Stamp{Version: 1}})
+	}
+	heavy := func(i int) record.Route {
+		path := fmt.Sprint("/", i, strings.Repeat("p", maxPathBytes-9))
+		return record.NewRoute2(fmt.Sprint("r", i), path, "a", true, maxTimeout, resources, record.NewObjective(0.999, maxTimeout))
+	}
+	f.state.index.put(codec.Stamped{Record: service("a"), Stamp: codec.Stamp{Version: 1}})
+	n := 0
+	for f.state.index.weight+weightOf(heavy(n)) <= MaxWeight {
+		f.state.index.put(codec.Stamped{Record: heavy(n), Stamp: codec.Stamp{Version: 1}})
+		n++
+	}
+	f.state.version, f.state.head = 1, 1
+	for i := range MaxOutcomes {
+		fault := record.NewFault(record.ReasonInvalid, record.NewID(record.KindRoute, "r"), "path", strings.Repeat("d", 240))
+		f.state.remember(record.Offset(i), record.Refused(record.PublishID{1, byte(i >> 8), byte(i)}, 1, []record.Fault{fault}))
+		f.state.graves.add(codec.Tombstone{ID: record.NewID(record.KindRoute, fmt.Sprint(i, strings.Repeat("n", maxNameBytes-4)))})
+	}
+	o := f.apply(f.change(1, puts(heavy(n))))
+	f.c.Assert(reasons(o), qt.DeepEquals, []string{"too-large unknown/ "})
+	f.c.Assert(f.apply(f.change(1, puts(heavy(n)), heavy(0).ID())).Accepted(), qt.IsTrue)
+	entries, err := f.state.CheckpointEntries(1)
+	f.c.Assert(err, qt.IsNil)
+	c, err := codec.EncodeCheckpoint(f.state.export())
+	f.c.Assert(err, qt.IsNil)
+	restored, err := Restore(c)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(sameState(restored, f.state), qt.IsNil)
+	t.Logf("%d records, %d entries", restored.Len(), len(entries))
+}
+
 func TestFaultsAreBounded(t *testing.T) {
 	f := newFixture(t)
 	var bad []record.Record
--- a/codec/limit.go
+++ b/codec/limit.go
@@ -9,9 +9,9 @@
 	// MaxRecord is the size of one encoded record, in bytes.
 	MaxRecord = 8 << 10
 	// MaxCheckpoint is the size of a whole state before compression, in bytes.
-	MaxCheckpoint = 64 << 20
+	MaxCheckpoint = 16 << 20
 	// MaxChunks is the number of entries over which one checkpoint is spread.
-	MaxChunks = 1024
+	MaxChunks = 512
 	// chunkSize leaves room in an entry for the header of a chunk, in bytes.
 	chunkSize = MaxEntry - 1<<10
 )
