catalog: bound what a loader keeps, drop the schedule of checkpoints

Cause: a loader that waits for a checkpoint kept every entry since; and the relay has a schedule of its own, so that the logic stood twice. Change: beyond 16 MiB the oldest entries count as trimmed; Result.Covered stays, for whoever schedules checkpoints.

--- a/catalog/loader.go
+++ b/catalog/loader.go
@@ -16,10 +16,16 @@
 	floor    record.Version
 	state    *State
 	entries  []record.Entry // from start on, until there is a state
+	bytes    int            // of entries
+	limit    int            // of bytes
 	parts    assembly
 	rejected int
 }
 
+// maxLoaderBytes bounds the entries that a Loader keeps while it waits for a checkpoint. Beyond it the oldest ones
+// count as trimmed: a later checkpoint will do without them.
+const maxLoaderBytes = 16 << 20
+
 // NewLoader returns a Loader for a binary that understands record.SchemaNewest. Start is the first offset that
 // the log keeps; the fold starts from nothing if it is zero.
 func NewLoader(start record.Offset) *Loader { return NewLoaderAbove(start, 0, record.SchemaNewest) }
@@ -31,7 +37,7 @@
 }
 
 func newLoader(start record.Offset, floor record.Version, newest record.Schema, p policy) *Loader {
-	l := &Loader{newest: newest, policy: p, start: start, floor: floor}
+	l := &Loader{newest: newest, policy: p, start: start, floor: floor, limit: maxLoaderBytes}
 	if start == 0 {
 		l.state = newState(newest, p)
 	}
@@ -74,7 +80,7 @@
 	if e.Offset() > l.Next() {
 		return &GapError{want: l.Next(), got: e.Offset()}
 	}
-	l.entries = append(l.entries, e)
+	l.keep(e)
 	item, err := codec.DecodeAt(e.Data(), l.newest)
 	if err != nil {
 		return nil // the fold will count it
@@ -86,6 +92,17 @@
 	return l.take(chunk)
 }
 
+func (l *Loader) keep(e record.Entry) {
+	l.entries = append(l.entries, e)
+	l.bytes += len(e.Data())
+	for l.bytes > l.limit && len(l.entries) > 1 {
+		l.bytes -= len(l.entries[0].Data())
+		l.entries[0] = record.Entry{} // frees the data
+		l.entries = l.entries[1:]
+		l.start++
+	}
+}
+
 func (l *Loader) take(c codec.Chunk) error {
 	data, whole := l.parts.add(c)
 	if !whole {
--- a/catalog/loader_test.go
+++ b/catalog/loader_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -223,22 +222,48 @@
 	f.c.Assert(sameState(restored, f.state), qt.IsNil)
 }
 
-func TestSchedule(t *testing.T) {
+func TestCovered(t *testing.T) {
 	f := newFixture(t)
-	start := time.Unix(0, 0)
-	s := NewSchedule(start, 0)
-	f.c.Assert(s.Due(start.Add(2*CheckpointPeriod), 0), qt.IsFalse)
-	f.c.Assert(s.Due(start, CheckpointEntries-1), qt.IsFalse)
-	f.c.Assert(s.Due(start, CheckpointEntries), qt.IsTrue)
-	f.c.Assert(s.Due(start.Add(CheckpointPeriod), 1), qt.IsTrue)
-
 	f.grow(0, 5)
-	result, err := f.state.Apply(record.NewEntry(5, f.checkpoint(1)[0]))
+	data := make([]byte, codec.MaxEntry)
+	chunks, err := codec.EncodeChunks(1, 3, chainAt(f, 3), data)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(chunks, qt.HasLen, 2)
+	for i, last := range []bool{false, true} {
+		result, err := f.state.Apply(record.NewEntry(f.state.Head(), chunks[i]))
+		f.c.Assert(err, qt.IsNil)
+		head, ok := result.Covered()
+		f.c.Assert(ok, qt.Equals, last)
+		f.c.Assert(head, qt.Equals, record.Offset(3))
+	}
+	_, ok := Result{}.Covered()
+	f.c.Assert(ok, qt.IsFalse)
+}
+
+func chainAt(f *fixture, head record.Offset) uint64 {
+	s, err := foldAll(New(), f.log[:head])
 	f.c.Assert(err, qt.IsNil)
-	later := start.Add(CheckpointPeriod / 2)
-	s.Note(later, result)
-	s.Note(later, Result{})
-	f.c.Assert(s.Due(start.Add(CheckpointPeriod), CheckpointEntries+4), qt.IsFalse)
-	f.c.Assert(s.Due(start.Add(CheckpointPeriod), CheckpointEntries+5), qt.IsTrue)
-	f.c.Assert(s.Due(later.Add(CheckpointPeriod), 6), qt.IsTrue)
+	return s.Chain()
+}
+
+// TestLoaderForgetsOldEntries bounds what a Loader keeps while it waits for a checkpoint.
+func TestLoaderForgetsOldEntries(t *testing.T) {
+	f := newFixture(t)
+	f.grow(0, 40)
+	early := f.checkpoint(1)[0]
+	f.grow(40, 40)
+	late := f.checkpoint(1)[0]
+	l := NewLoader(10)
+	l.limit = 4 * len(f.log[10].Data())
+	f.c.Assert(l.Add(f.log[10:]), qt.IsNil)
+	f.c.Assert(len(l.entries) <= 4, qt.IsTrue)
+	f.c.Assert(l.Next(), qt.Equals, record.Offset(80))
+	f.applyData(early)
+	f.c.Assert(l.Add(f.log[80:]), qt.IsNil)
+	f.c.Assert(l.State(), qt.IsNil)
+	f.c.Assert(l.Rejected(), qt.Equals, 1)
+	f.applyData(late)
+	f.applyData(f.checkpoint(1)[0])
+	f.c.Assert(l.Add(f.log[81:]), qt.IsNil)
+	f.c.Assert(sameState(l.State(), f.state), qt.IsNil)
 }
