catalog: freeze the decisions of this release in a test

Cause: nodes of two releases have to fold the same log alike, and nothing noticed a change of bounds, formats or the chain. Change: 23 entries in bytes with what the fold made of them.

--- /dev/null
+++ b/catalog/frozen_test.go
@@ -0,0 +1,93 @@
+package catalog
+
+import (
+	"bufio"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// frozenLog holds one entry a line: the bytes in hex, then what the fold made of them.
+const frozenLog = "testdata/frozen.log"
+
+var updateFrozen = flag.Bool("update-frozen", false, "write "+frozenLog+" anew; only before a release of a new level")
+
+// TestDecisionsAreFrozen folds entries written by an earlier build. A difference means that nodes of two releases
+// would split over the same log.
+func TestDecisionsAreFrozen(t *testing.T) {
+	if *updateFrozen {
+		writeFrozen(t)
+	}
+	c := qt.New(t)
+	file, err := os.Open(frozenLog)
+	c.Assert(err, qt.IsNil)
+	defer file.Close()
+	s := NewKnowing(schema3)
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		text, want, _ := strings.Cut(lines.Text(), " ")
+		data, err := hex.DecodeString(text)
+		c.Assert(err, qt.IsNil)
+		c.Assert(fold(c, s, data), qt.Equals, want)
+	}
+	c.Assert(lines.Err(), qt.IsNil)
+	c.Assert(s.Head() > 20, qt.IsTrue)
+}
+
+// fold applies the next entry and describes what became of it, without the wording of details.
+func fold(c *qt.C, s *State, data []byte) string {
+	result, err := s.Apply(record.NewEntry(s.Head(), data))
+	c.Assert(err, qt.IsNil)
+	outcome, _ := result.Outcome()
+	return fmt.Sprintf("%s version=%d level=%d horizon=%d records=%d chain=%016x faults=%q",
+		result.Kind(), s.Version(), s.Level(), s.Horizon(), s.Len(), s.Chain(), reasons(outcome))
+}
+
+func writeFrozen(t *testing.T) {
+	f := newFixture(t)
+	f.state = NewKnowing(schema3)
+	publishFrozen(f)
+	s := NewKnowing(schema3)
+	var text strings.Builder
+	for _, e := range f.log {
+		fmt.Fprintf(&text, "%x %s\n", e.Data(), fold(f.c, s, e.Data()))
+	}
+	f.c.Assert(os.WriteFile(frozenLog, []byte(text.String()), 0o644), qt.IsNil)
+}
+
+func publishFrozen(f *fixture) {
+	objective := record.NewObjective(0.999, 300_000_000)
+	f.put(service("narudzbe"), service("radionica"), record.NewResource(1, "forge", 12.5, 3))
+	f.put(record.NewRoute("catalogue", "/catalogue", "narudzbe", true), route("orders", "/orders/", "narudzbe"))
+	f.put(record.NewRoute2("slots", "/slots", "radionica", false, 0, []string{"forge"}, objective))
+	first := f.change(3, puts(service("radionica")))
+	f.apply(first)
+	f.apply(f.change(3, puts(service("radionica"))))
+	f.apply(first)
+	f.apply(f.change(4, nil, record.NewID(record.KindResource, "forge")))
+	f.apply(f.change(4, nil, record.NewID(record.KindResource, "forge"), record.NewID(record.KindRoute, "slots")))
+	f.apply(f.change(4, puts(record.NewResource(2, "forge", 1, 1))))
+	f.apply(f.change(f.state.Version(), puts(service("a/b"), service(""), record.NewService(2, "šuma", -1))))
+	f.apply(f.change(f.state.Version(), puts(route("x", "/orders/", "none"), route("y", "/y//z", "narudzbe"))))
+	f.apply(f.change(f.state.Version(), puts(route("x", "/naplata-ščć", "narudzbe"))))
+	f.apply(f.change(99, puts(service("later"))))
+	f.apply(f.change(f.state.Version(), nil))
+	f.apply(f.change(f.state.Version(), nil, record.NewID(record.KindRoute, "nowhere")))
+	f.apply(f.change(f.state.Version(), puts(route("new", "/new", "narudzbe").WithSchema(schema3))))
+	f.applyData(nil)
+	f.applyData([]byte{1, 2, 3})
+	f.applyData([]byte{77})
+	malformed := f.id()
+	f.applyData(append(append([]byte{1}, malformed[:]...), "not compressed"...))
+	f.applyData(f.checkpoint(1)[0])
+	f.apply(f.change(f.state.Version(), puts(service("risen"))).WithLevel(schema3))
+	f.apply(f.change(f.state.Version(), nil).WithLevel(schema3))
+}
