--- a/catalog/frozen_test.go
+++ b/catalog/frozen_test.go
@@ -8,9 +8,11 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bambooknot/bambooknot/codec"
 	"github.com/bambooknot/bambooknot/record"
 )
 
@@ -82,6 +84,7 @@
 	f.apply(f.change(f.state.Version(), nil))
 	f.apply(f.change(f.state.Version(), nil, record.NewID(record.KindRoute, "nowhere")))
 	f.apply(f.change(f.state.Version(), puts(route("new", "/new", "narudzbe").WithSchema(schema3))))
+	publishBounds(f)
 	f.applyData(nil)
 	f.applyData([]byte{1, 2, 3})
 	f.applyData([]byte{77})
@@ -91,3 +94,28 @@
 	f.apply(f.change(f.state.Version(), puts(service("risen"))).WithLevel(schema3))
 	f.apply(f.change(f.state.Version(), nil).WithLevel(schema3))
 }
+
+// publishBounds publishes records at their bounds, and then beyond them.
+func publishBounds(f *fixture) {
+	for _, over := range []int{0, 1} {
+		text := func(n int) string { return strings.Repeat("t", n+over) }
+		timeout := func(d int) time.Duration { return time.Duration(d) }
+		limits := make([]string, 16+over)
+		var used []record.Record
+		for i := range limits {
+			limits[i] = fmt.Sprint("limit-", i)
+			used = append(used, record.NewResource(2, limits[i], 1e6+float64(over), 1_000_000+over))
+		}
+		f.apply(f.change(f.state.Version(), append(used, record.NewService(2, text(128), 100_000+over), service("s"))))
+		f.apply(f.change(f.state.Version(), puts(
+			record.NewRoute2("long", "/"+text(1023), "s", true, 10*time.Minute+timeout(over), nil, record.NewObjective(0.5, 10*time.Minute+timeout(over))),
+			record.NewRoute2("many", "/many", "s", true, time.Millisecond-timeout(over), limits, record.NewObjective(0.5+float64(over)/2, 1)),
+		)))
+	}
+	f.apply(f.change(f.state.Version(), puts(service(strings.Repeat("n", codec.MaxRecord)))))
+	var many []record.Record
+	for i := range 256 {
+		many = append(many, route("r", "/"+strings.Repeat("p", 1010)+fmt.Sprint(i), "s"))
+	}
+	f.apply(f.change(f.state.Version(), many))
+}
