link: carry frames and forwarded calls between nodes

Datagrams over UDP, large frames over drpc, and two ways to forward calls (net/http and drpc streams) so that they can be measured side by side. Every TCP connection opens with a hello that names fleet, protocol and purpose.

--- /dev/null
+++ b/link/datagram.go
@@ -0,0 +1,58 @@
+package link
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/samber/oops"
+	"github.com/uber-go/tally/v4"
+)
+
+// MaxDatagram is the largest frame, in bytes, that is sent as one datagram. Larger ones go over TCP.
+const MaxDatagram = 1200
+
+// Datagrams sends and receives frames over one UDP socket.
+type Datagrams struct {
+	conn     *net.UDPConn
+	sent     tally.Counter
+	received tally.Counter
+	wg       sync.WaitGroup
+}
+
+// NewDatagrams hands each frame received on conn to frame until Close. It takes conn over.
+func NewDatagrams(conn *net.UDPConn, frame func(frame []byte), scope tally.Scope) *Datagrams {
+	d := &Datagrams{
+		conn:     conn,
+		sent:     scope.Counter("link_datagram_bytes_sent"),
+		received: scope.Counter("link_datagram_bytes_received"),
+	}
+	d.wg.Go(func() {
+		buf := make([]byte, 64<<10)
+		for {
+			n, _, err := conn.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			d.received.Inc(int64(n))
+			frame(append([]byte(nil), buf[:n]...))
+		}
+	})
+	return d
+}
+
+// Send sends one frame to a peer. Nothing tells whether it arrives.
+func (d *Datagrams) Send(peer netip.AddrPort, frame []byte) error {
+	if _, err := d.conn.WriteToUDPAddrPort(frame, peer); err != nil {
+		return oops.In("link.datagram").With("peer", peer).Wrap(err)
+	}
+	d.sent.Inc(int64(len(frame)))
+	return nil
+}
+
+// Close closes the socket and waits for the receiver.
+func (d *Datagrams) Close() error {
+	err := d.conn.Close()
+	d.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/link/dialer.go
@@ -0,0 +1,38 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/samber/oops"
+)
+
+// Dialer opens connections to other nodes of one fleet.
+type Dialer struct {
+	fleet string
+	dial  func(ctx context.Context, peer netip.AddrPort) (net.Conn, error)
+}
+
+// NewDialer returns a Dialer over TCP.
+func NewDialer(fleet string) *Dialer {
+	return &Dialer{fleet: fleet, dial: dialTCP}
+}
+
+func dialTCP(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{Timeout: helloTimeout}
+	return d.DialContext(ctx, "tcp", peer.String())
+}
+
+// open dials a peer and has the hello accepted.
+func (d *Dialer) open(ctx context.Context, peer netip.AddrPort, p purpose) (net.Conn, error) {
+	conn, err := d.dial(ctx, peer)
+	if err != nil {
+		return nil, oops.In("link.dial").With("peer", peer).Wrap(err)
+	}
+	if err := introduce(conn, d.fleet, p, peer); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
