link: forward calls over net/http only

Cause: the forward between nodes has a budget of 0.31 ms for two hops, so the cheaper of the two ways has to carry it. Ruled out: flushing per message as the reason for the slower drpc (a manual flush, one write each way, gained nothing). Conclusion: net/http forwards calls; drpc keeps the frames between control threads, where a unary call with an acknowledgement fits. The drpc forward is taken out again.

--- a/link/callhttp.go
+++ b/link/call.go
@@ -12,14 +12,13 @@
 	"github.com/bambooknot/bambooknot/message"
 )
 
-// HTTPForward forwards calls to peers by net/http. It is the alternative that DrpcForward is measured
-// against.
-type HTTPForward struct {
+// Forward forwards calls to peers by net/http.
+type Forward struct {
 	transport *http.Transport
 }
 
-// NewHTTPForward returns a forwarder that dials by dialer.
-func NewHTTPForward(dialer *Dialer) *HTTPForward {
+// NewForward returns a forwarder that dials by dialer.
+func NewForward(dialer *Dialer) *Forward {
 	dial := func(ctx context.Context, _, addr string) (net.Conn, error) {
 		peer, err := netip.ParseAddrPort(addr)
 		if err != nil {
@@ -31,7 +30,7 @@
 		}
 		return conn, nil
 	}
-	return &HTTPForward{transport: &http.Transport{
+	return &Forward{transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
@@ -40,27 +39,28 @@
 	}}
 }
 
-// RoundTrip implements http.RoundTripper. The host of the URL is the peer address of the owner node.
-func (f *HTTPForward) RoundTrip(req *http.Request) (*http.Response, error) {
+// RoundTrip implements http.RoundTripper. The host of the URL is the peer address of the owner node. A
+// *message.NotSent in the error says that no byte of the call was sent.
+func (f *Forward) RoundTrip(req *http.Request) (*http.Response, error) {
 	return f.transport.RoundTrip(req)
 }
 
 // Close closes idle connections.
-func (f *HTTPForward) Close() error {
+func (f *Forward) Close() error {
 	f.transport.CloseIdleConnections()
 	return nil
 }
 
-// HTTPCalls serves forwarded calls by net/http.
-type HTTPCalls struct {
+// Calls serves forwarded calls by net/http.
+type Calls struct {
 	server *http.Server
 	conns  *connQueue
 	wg     sync.WaitGroup
 }
 
-// NewHTTPCalls returns a server that has calls handled by handler.
-func NewHTTPCalls(handler http.Handler) *HTTPCalls {
-	c := &HTTPCalls{
+// NewCalls returns a server that has calls handled by handler.
+func NewCalls(handler http.Handler) *Calls {
+	c := &Calls{
 		server: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: 2 * idleTimeout},
 		conns:  newConnQueue(),
 	}
@@ -69,7 +69,7 @@
 }
 
 // ServeConn serves the calls on one connection until it ends.
-func (c *HTTPCalls) ServeConn(ctx context.Context, conn net.Conn) {
+func (c *Calls) ServeConn(ctx context.Context, conn net.Conn) {
 	w := &watchedConn{Conn: conn, done: make(chan struct{})}
 	if !c.conns.push(w) {
 		return
@@ -81,7 +81,7 @@
 }
 
 // Close ends all connections and waits for the server.
-func (c *HTTPCalls) Close() error {
+func (c *Calls) Close() error {
 	err := c.server.Close()
 	c.wg.Wait()
 	return err
--- a/link/raw.go
+++ b/link/raw.go
@@ -7,15 +7,11 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 )
 
-// Names of the remote procedures.
-const (
-	rpcFrame = "/bambooknot.Frame"
-	rpcCall  = "/bambooknot.Call"
-)
+// rpcFrame names the remote procedure that takes one peer message.
+const rpcFrame = "/bambooknot.Frame"
 
 // maxMessage bounds one drpc message in bytes: the largest peer frame and its overhead.
 const maxMessage = 4 << 20
@@ -50,7 +46,6 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
-		Stream:     drpcstream.Options{ManualFlush: true},
 		SoftCancel: true,
 	}
 }
@@ -62,17 +57,3 @@
 func newConn(transport drpc.Transport) *drpcconn.Conn {
 	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()})
 }
-
-// flusher is offered by drpc streams. Messages leave when a stream is flushed, received from or closed,
-// so that a small call takes one write each way.
-type flusher interface {
-	RawFlush() error
-}
-
-func flush(stream drpc.Stream) error {
-	f, ok := stream.(flusher)
-	if !ok {
-		return nil
-	}
-	return f.RawFlush()
-}
