rig, demo: start a small fleet as processes and take it through a change

The demo is the acceptance test of the whole path; the rig under it also serves the tests that kill processes.

--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,36 @@
+// Demo starts the fleet of Kovani Dvor on loopback addresses, takes it through a change of configuration
+// and a drain, and ends by itself. Its exit code is 0 only if all of that happened.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/bambooknot/bambooknot/rig"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	work, err := os.MkdirTemp("", "bambooknot-demo")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(work) }()
+	if err := rig.Build(".", work); err != nil {
+		return err
+	}
+	fleet, err := rig.New(work, work, rig.KovaniDvor())
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	tour := &tour{fleet: fleet, records: filepath.Join("demo", "records.toml"), change: filepath.Join("demo", "change.toml")}
+	return tour.run()
+}
--- /dev/null
+++ b/rig/fleet.go
@@ -0,0 +1,195 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Ports of every node, on a loopback address of its own.
+const (
+	portPeer      = 7100
+	portCallers   = 7101
+	portServer    = 7102
+	portObserve   = 7103
+	portOperators = 7104
+	portBackend   = 8100
+	portLog       = 7000
+)
+
+// fleetName is the fleet to which all nodes of a rig belong.
+const fleetName = "rig"
+
+// Spot is where one node with its backend server runs.
+type Spot struct {
+	region  string
+	domain  string
+	service string
+	slots   int
+}
+
+// NewSpot returns the place of a node whose backend server belongs to service.
+func NewSpot(region, domain, service string, slots int) Spot {
+	return Spot{region: region, domain: domain, service: service, slots: slots}
+}
+
+// KovaniDvor returns the twelve spots of Kovani Dvor: two regions, four failure domains, eight servers
+// of narudzbe and four of radionica.
+func KovaniDvor() []Spot {
+	var spots []Spot
+	for _, d := range []struct{ region, domain string }{
+		{"jadran", "split"}, {"jadran", "rijeka"}, {"kontinent", "zagreb"}, {"kontinent", "osijek"},
+	} {
+		spots = append(spots,
+			NewSpot(d.region, d.domain, "narudzbe", 18),
+			NewSpot(d.region, d.domain, "narudzbe", 18),
+			NewSpot(d.region, d.domain, "radionica", 18))
+	}
+	return spots
+}
+
+// Fleet is a running fleet: one log, and per spot a node with its backend server.
+type Fleet struct {
+	bin     string
+	work    string
+	network [2]byte
+	spots   []Spot
+	log     *Process
+	nodes   []*Process
+	servers []*Process
+}
+
+// New returns a fleet that runs the programs in bin and keeps settings files in work. Nothing is
+// started yet.
+func New(bin, work string, spots []Spot) (*Fleet, error) {
+	f := &Fleet{bin: bin, work: work, spots: spots, nodes: make([]*Process, len(spots)), servers: make([]*Process, len(spots))}
+	const attempts = 50
+	for range attempts {
+		f.network = [2]byte{byte(1 + rand.IntN(250)), byte(rand.IntN(256))}
+		if f.isFree() {
+			return f, nil
+		}
+	}
+	return nil, fmt.Errorf("no free loopback network after %d attempts", attempts)
+}
+
+func (f *Fleet) isFree() bool {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(f.host(0), portLog).String())
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
+}
+
+// host returns the loopback address of a node, or of the log at 0.
+func (f *Fleet) host(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, f.network[0], f.network[1], byte(i + 1)})
+}
+
+func (f *Fleet) at(i, port int) netip.AddrPort { return netip.AddrPortFrom(f.host(i+1), uint16(port)) }
+
+// Size returns the number of nodes.
+func (f *Fleet) Size() int { return len(f.spots) }
+
+// Spot returns where node i runs.
+func (f *Fleet) Spot(i int) Spot { return f.spots[i] }
+
+// Service returns the service of the backend server.
+func (s Spot) Service() string { return s.service }
+
+// Callers returns the address of node i for callers.
+func (f *Fleet) Callers(i int) netip.AddrPort { return f.at(i, portCallers) }
+
+// Observe returns the address of node i for metrics and readiness.
+func (f *Fleet) Observe(i int) netip.AddrPort { return f.at(i, portObserve) }
+
+// Operators returns the address of node i for operators.
+func (f *Fleet) Operators(i int) netip.AddrPort { return f.at(i, portOperators) }
+
+// Backend returns the address of the backend server beside node i.
+func (f *Fleet) Backend(i int) netip.AddrPort { return f.at(i, portBackend) }
+
+// LogAddress returns the address of the log.
+func (f *Fleet) LogAddress() netip.AddrPort { return netip.AddrPortFrom(f.host(0), portLog) }
+
+// Log returns the process of the log.
+func (f *Fleet) Log() *Process { return f.log }
+
+// Node returns the process of node i.
+func (f *Fleet) Node(i int) *Process { return f.nodes[i] }
+
+// Server returns the process of the backend server beside node i.
+func (f *Fleet) Server(i int) *Process { return f.servers[i] }
+
+// Program returns the path of a built program.
+func (f *Fleet) Program(name string) string { return filepath.Join(f.bin, name) }
+
+// StartAll starts the log, all nodes and all backend servers.
+func (f *Fleet) StartAll() error {
+	if err := f.StartLog(); err != nil {
+		return err
+	}
+	for i := range f.spots {
+		if err := f.StartNode(i); err != nil {
+			return err
+		}
+		if err := f.StartServer(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartLog starts the stand-in for the platform's log. It holds nothing from before.
+func (f *Fleet) StartLog() (err error) {
+	f.log, err = startProcess("log", f.Program("standinlog"), "--listen", f.LogAddress().String())
+	return err
+}
+
+// StartNode starts node i with new settings.
+func (f *Fleet) StartNode(i int) error {
+	path := filepath.Join(f.work, fmt.Sprintf("node%d.toml", i))
+	if err := os.WriteFile(path, []byte(f.settings(i)), 0o600); err != nil {
+		return err
+	}
+	var err error
+	f.nodes[i], err = startProcess(fmt.Sprintf("node %d", i), f.Program("bambooknot"), "node", "--settings", path)
+	return err
+}
+
+// StartServer starts the backend server beside node i.
+func (f *Fleet) StartServer(i int, extra ...string) error {
+	s := f.spots[i]
+	args := append([]string{
+		"--listen", f.Backend(i).String(), "--node", f.at(i, portServer).String(),
+		"--service", s.service, "--slots", fmt.Sprint(s.slots),
+	}, extra...)
+	var err error
+	f.servers[i], err = startProcess(fmt.Sprintf("server %d", i), f.Program("standinserver"), args...)
+	return err
+}
+
+func (f *Fleet) settings(i int) string {
+	s := f.spots[i]
+	var b strings.Builder
+	fmt.Fprintf(&b, "[fleet]\nname = %q\nlog_region = %q\n", fleetName, f.spots[0].region)
+	fmt.Fprintf(&b, "[node]\nregion = %q\nfailure_domain = %q\npeer = %q\n", s.region, s.domain, f.at(i, portPeer))
+	fmt.Fprintf(&b, "[listen]\ncallers = %q\nserver = %q\nobserve = %q\noperators = %q\n",
+		f.Callers(i), f.at(i, portServer), f.Observe(i), f.Operators(i))
+	fmt.Fprintf(&b, "[log]\naddress = %q\n", f.LogAddress())
+	return b.String()
+}
+
+// Close kills every process that still runs.
+func (f *Fleet) Close() {
+	all := append(append([]*Process{f.log}, f.nodes...), f.servers...)
+	for _, p := range all {
+		if p != nil && p.Running() {
+			p.Kill()
+		}
+	}
+}
--- /dev/null
+++ b/rig/wait.go
@@ -0,0 +1,54 @@
+package rig
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+const pollPeriod = 50 * time.Millisecond
+
+// Until polls a condition until it returns nil or the time has passed, and returns its last error.
+func Until(limit time.Duration, condition func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("not within %s: %w", limit, err)
+		}
+		time.Sleep(pollPeriod)
+	}
+}
+
+// Ready returns nil when node i reports that it is ready.
+func (f *Fleet) Ready(i int) error {
+	return getOK(f.Observe(i), "/ready")
+}
+
+// AllReady returns nil when all nodes report that they are ready.
+func (f *Fleet) AllReady() error {
+	for i := range f.spots {
+		if err := f.Ready(i); err != nil {
+			return fmt.Errorf("node %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func getOK(addr netip.AddrPort, path string) error {
+	res, err := http.Get("http://" + addr.String() + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(res.Body)
+		return fmt.Errorf("%s %s: %s", path, res.Status, body)
+	}
+	return nil
+}
