operators: settings, operators' port, publish and status as a thin path

Cause: a node needs settings to start from and a port to be published through before anything else can be tried end to end. Change: tomldoc reads TOML key by key and collects every fault; setting and recordfile are built on it. operator serves and calls the port, with the fleet's name and the protocol checked first. metric names and serves counters. burn counts calls against objectives. Commands publish, check, drain and the query status use them. Ruled out: decoding straight into tagged structs, as that stops at the first value of a wrong type and cannot say what is allowed.

--- /dev/null
+++ b/burn/bucket.go
@@ -0,0 +1,84 @@
+package burn
+
+import "time"
+
+// resolution is one ring of buckets: how long a bucket is and how many are kept.
+type resolution struct {
+	width time.Duration
+	kept  int
+}
+
+// The rings of a series. Each keeps one bucket more than its longest window needs, because the newest
+// bucket is not complete.
+var resolutions = [...]resolution{
+	{time.Minute, 61},
+	{5 * time.Minute, 73},
+	{time.Hour, 73},
+}
+
+const bucketsPerSeries = 61 + 73 + 73
+
+// Bucket counts calls that began to be counted within one stretch of time.
+type Bucket struct {
+	start int64 // Unix seconds, a multiple of the width
+	calls uint64
+	bad   uint64
+}
+
+// NewBucket returns the bucket of a stretch that starts at that time.
+func NewBucket(start time.Time, calls, bad uint64) Bucket {
+	return Bucket{start: start.Unix(), calls: calls, bad: bad}
+}
+
+// Start returns when the stretch began.
+func (b Bucket) Start() time.Time { return time.Unix(b.start, 0).UTC() }
+
+// Calls returns the calls counted, bad ones included.
+func (b Bucket) Calls() uint64 { return b.calls }
+
+// Bad returns the calls that ended in an error or too late.
+func (b Bucket) Bad() uint64 { return b.bad }
+
+// ring holds the newest buckets of one width, addressed by time.
+type ring struct {
+	width   int64 // seconds
+	buckets []Bucket
+}
+
+func newRing(r resolution) ring {
+	return ring{width: int64(r.width / time.Second), buckets: make([]Bucket, r.kept)}
+}
+
+// add counts one call at a Unix time. A call older than the ring reaches, or before 1970, is left out.
+func (r *ring) add(at int64, bad uint64) {
+	if at < 0 {
+		return
+	}
+	start := at - at%r.width
+	b := &r.buckets[(start/r.width)%int64(len(r.buckets))]
+	if start < b.start {
+		return
+	}
+	if start > b.start {
+		*b = Bucket{start: start}
+	}
+	b.calls++
+	b.bad += bad
+}
+
+// list returns the buckets with calls that the ring still reaches at a Unix time, oldest first.
+func (r *ring) list(now int64) []Bucket {
+	newest := now - now%r.width
+	kept := make([]Bucket, 0, len(r.buckets))
+	for i := len(r.buckets) - 1; i >= 0; i-- {
+		start := newest - int64(i)*r.width
+		if start < 0 {
+			continue
+		}
+		b := r.buckets[(start/r.width)%int64(len(r.buckets))]
+		if b.start == start && b.calls > 0 {
+			kept = append(kept, b)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/bambooknot/bambooknot/recordfile"
+	"github.com/bambooknot/bambooknot/setting"
+	"github.com/bambooknot/bambooknot/tomldoc"
+)
+
+const checkLong = `Checks settings files and record files without a node and prints every fault with its file, its
+key and what is allowed. A file with a section [fleet] or [node] counts as settings, any other as records. References
+between records are checked by the fleet when they are published.
+
+Exit codes: 0 no fault; 2 a fault.`
+
+type checkCommand struct {
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	Register("check", "Check settings or records", checkLong, func() Runner { return &checkCommand{} })
+}
+
+func (c *checkCommand) Run(env Env, _ []string) int {
+	code := ExitOK
+	for _, path := range c.Args.Files {
+		kind, err := checkFile(path)
+		if err != nil {
+			code = FailUsage(env, err)
+			continue
+		}
+		fmt.Fprintf(env.Out, "%s: %s without a fault\n", path, kind)
+	}
+	return code
+}
+
+func checkFile(path string) (kind string, err error) {
+	doc, err := tomldoc.Load(path)
+	if err != nil {
+		return "", err
+	}
+	if doc.Root().Has("fleet") || doc.Root().Has("node") {
+		_, err = setting.Load(path)
+		return "settings", err
+	}
+	_, err = recordfile.Load(path)
+	return "records", err
+}
--- /dev/null
+++ b/command/outcome.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// PrintOutcome prints the accepted version, or every fault of a refusal: reason, record, field and
+// detail, which for a conflict names what the change lost to.
+func PrintOutcome(env Env, o record.Outcome) {
+	if o.Accepted() {
+		fmt.Fprintf(env.Out, "accepted as version %d (publish %s)\n", o.Version(), o.Publish())
+		return
+	}
+	fmt.Fprintf(env.Err, "refused at version %d (publish %s):\n", o.Version(), o.Publish())
+	for _, f := range o.Faults() {
+		fmt.Fprintln(env.Err, " ", faultLine(f))
+	}
+}
+
+func faultLine(f record.Fault) string {
+	line := f.Reason().String() + ": "
+	if f.Record() != (record.ID{}) {
+		line += f.Record().String() + ": "
+	}
+	if f.Field() != "" {
+		line += f.Field() + ": "
+	}
+	return line + f.Detail()
+}
--- /dev/null
+++ b/command/publish.go
@@ -0,0 +1,172 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os/user"
+
+	"github.com/google/uuid"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/recordfile"
+)
+
+const publishLong = `Publishes the records of a TOML file as one change set, accepted whole or refused whole.
+The base version is that of --base, else that of the file, else the one that the node holds.
+An unknown outcome is tried again under the same publish ID, which counts once.
+
+Exit codes: 0 accepted; 2 faults in the arguments or the file, nothing was sent; 3 refused;
+4 the outcome is not known, publish again with the --publish-id printed; 5 the node or the log
+could not be reached, nothing was published; 1 any other failure, nothing was published.`
+
+type publishCommand struct {
+	Remote
+	Base      *uint64 `long:"base" value-name:"VERSION" description:"version that the change was prepared against"`
+	PublishID string  `long:"publish-id" value-name:"UUID" description:"identity of the publish, to try again what had an unknown outcome"`
+	Operator  string  `long:"operator" value-name:"NAME" description:"who publishes; default is the file's operator, then the user's name"`
+	Attempts  int     `long:"attempts" value-name:"N" default:"3" description:"how often a publish of unknown outcome is tried, at least once"`
+	JSON      bool    `long:"json" description:"print the receipt as JSON"`
+	Args      struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	Register("publish", "Publish a record file", publishLong, func() Runner { return &publishCommand{} })
+}
+
+func (c *publishCommand) Run(env Env, _ []string) int {
+	client, err := c.Client()
+	if err != nil {
+		return FailUsage(env, err)
+	}
+	file, err := recordfile.Load(c.Args.File)
+	if err != nil {
+		return FailUsage(env, err)
+	}
+	id, err := c.identity(file)
+	if err != nil {
+		return FailUsage(env, err)
+	}
+	base, err := c.base(client, file)
+	if err != nil {
+		return Fail(env, err)
+	}
+	change := file.ChangeSet(id, c.operator(file), base)
+	receipt, err := c.attempt(client, change)
+	return c.report(env, change, receipt, err)
+}
+
+func (c *publishCommand) identity(file recordfile.File) (record.PublishID, error) {
+	if c.PublishID != "" {
+		id, err := uuid.Parse(c.PublishID)
+		if err != nil || id == uuid.Nil {
+			return id, fmt.Errorf("--publish-id %q: allowed is a UUID other than the nil UUID", c.PublishID)
+		}
+		return id, nil
+	}
+	if id, ok := file.Publish(); ok {
+		return id, nil
+	}
+	return uuid.NewV7()
+}
+
+func (c *publishCommand) base(client *operator.Client, file recordfile.File) (record.Version, error) {
+	if c.Base != nil {
+		return record.Version(*c.Base), nil
+	}
+	if base, ok := file.Base(); ok {
+		return base, nil
+	}
+	ctx, cancel := c.Context()
+	defer cancel()
+	status, err := client.Status(ctx)
+	return status.Digest().Version(), err
+}
+
+func (c *publishCommand) operator(file recordfile.File) string {
+	if c.Operator != "" {
+		return c.Operator
+	}
+	if file.Operator() != "" {
+		return file.Operator()
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// attempt publishes until the outcome is known or the attempts are used up. Once an attempt may have
+// taken effect, no later error says that nothing was published.
+func (c *publishCommand) attempt(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
+	inDoubt := false
+	var receipt message.Receipt
+	for range max(c.Attempts, 1) {
+		var err error
+		receipt, err = c.once(client, change)
+		if decided := err == nil && receipt.State() == message.ReceiptDecided; decided {
+			return receipt, nil
+		}
+		if !inDoubt && nothingPublished(receipt, err) {
+			return receipt, err
+		}
+		inDoubt = true
+		if err == nil {
+			err = receipt.Err()
+		}
+		receipt = message.NewUndecided(message.ReceiptUnknown, err)
+	}
+	return receipt, nil
+}
+
+func (c *publishCommand) once(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
+	ctx, cancel := c.Context()
+	defer cancel()
+	return client.Publish(ctx, change)
+}
+
+func nothingPublished(r message.Receipt, err error) bool {
+	var rejected *operator.RejectedError
+	if err != nil {
+		return operator.NotSent(err) || errors.As(err, &rejected)
+	}
+	return r.State() == message.ReceiptNotAppended
+}
+
+func (c *publishCommand) report(env Env, change record.ChangeSet, r message.Receipt, err error) int {
+	if err != nil {
+		return Fail(env, err)
+	}
+	if c.JSON {
+		printReceiptJSON(env, r)
+	}
+	switch r.State() {
+	case message.ReceiptDecided:
+		return c.reportOutcome(env, r.Outcome())
+	case message.ReceiptNotAppended:
+		fmt.Fprintf(env.Err, "the log did not take the change set, nothing was published: %v\n", r.Err())
+		return ExitUnavailable
+	}
+	fmt.Fprintf(env.Err, "the outcome is not known: %v\ntry again with --publish-id %s --base %d\n", r.Err(), change.Publish(), change.Base())
+	return ExitUnknown
+}
+
+func (c *publishCommand) reportOutcome(env Env, o record.Outcome) int {
+	if !c.JSON {
+		PrintOutcome(env, o)
+	}
+	if !o.Accepted() {
+		return ExitRefused
+	}
+	return ExitOK
+}
+
+func printReceiptJSON(env Env, r message.Receipt) {
+	data, err := operator.EncodeReceipt(r)
+	if err == nil {
+		fmt.Fprintln(env.Out, string(data))
+	}
+}
--- a/main.go
+++ b/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/bambooknot/bambooknot/command"
+	_ "github.com/bambooknot/bambooknot/query"
 )
 
 func main() {
--- /dev/null
+++ b/metric/fleet.go
@@ -0,0 +1,99 @@
+package metric
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Fleet turns a node's status into gauges. It is not safe for concurrent use.
+type Fleet struct {
+	scope   tally.Scope
+	regions map[member.Region]bool
+}
+
+// NewFleet returns a Fleet whose gauges are in scope.
+func NewFleet(scope tally.Scope) *Fleet {
+	return &Fleet{scope: scope, regions: make(map[member.Region]bool)}
+}
+
+// Record sets all gauges to a status taken at now.
+func (f *Fleet) Record(now time.Time, s message.Status) {
+	f.scope.Gauge(ConfigVersion).Update(float64(s.Digest().Version()))
+	f.scope.Gauge(ConfigHead).Update(float64(s.Digest().Head()))
+	f.scope.Gauge(ConfigNeedSchema).Update(float64(s.NeedLevel()))
+	f.scope.Gauge(LogFault).Update(truth(s.LogFault() != nil))
+	f.scope.Gauge(NodeServing).Update(truth(s.Stage() == message.StageServing))
+	if !s.LogSeen().IsZero() {
+		f.scope.Gauge(LogSilence).Update(now.Sub(s.LogSeen()).Seconds())
+	}
+	f.recordHealth(s.Members())
+	f.recordCensus(now, s.Census())
+}
+
+func (f *Fleet) recordHealth(members []member.Member) {
+	var counts [member.HealthLeft + 1]int
+	for _, m := range members {
+		if int(m.Health()) < len(counts) {
+			counts[m.Health()]++
+		}
+	}
+	for health := member.HealthAlive; health <= member.HealthLeft; health++ {
+		scope := f.scope.Tagged(map[string]string{TagHealth: health.String()})
+		scope.Gauge(FleetNodes).Update(float64(counts[health]))
+	}
+}
+
+func (f *Fleet) recordCensus(now time.Time, census []message.Census) {
+	newest := Newest(census)
+	for region := range f.regions {
+		f.regions[region] = false
+	}
+	for _, c := range census {
+		f.regions[c.Region()] = true
+		scope := f.scope.Tagged(map[string]string{TagRegion: string(c.Region())})
+		scope.Gauge(FleetBehind).Update(float64(Behind(c, newest)))
+		scope.Gauge(FleetCensusAge).Update(now.Sub(c.At()).Seconds())
+	}
+	for region, counted := range f.regions {
+		if counted {
+			continue
+		}
+		scope := f.scope.Tagged(map[string]string{TagRegion: string(region)})
+		scope.Gauge(FleetBehind).Update(0)
+		delete(f.regions, region)
+	}
+}
+
+// Newest returns the newest version that any census counts.
+func Newest(census []message.Census) record.Version {
+	var newest record.Version
+	for _, c := range census {
+		for _, count := range c.Counts() {
+			newest = max(newest, count.Version())
+		}
+	}
+	return newest
+}
+
+// Behind returns how many nodes of a census hold less than version.
+func Behind(c message.Census, version record.Version) int {
+	nodes := 0
+	for _, count := range c.Counts() {
+		if count.Version() < version {
+			nodes += count.Nodes()
+		}
+	}
+	return nodes
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/samber/oops"
+
+	"github.com/bambooknot/bambooknot/burn"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+const maxAnswer = 64 << 20 // bytes
+
+// Client asks one node through its operators' port.
+type Client struct {
+	node  netip.AddrPort
+	fleet string
+	http  *http.Client
+}
+
+// NewClient returns a client of the node whose operators' port is at that address.
+func NewClient(node netip.AddrPort, fleet string, client *http.Client) *Client {
+	return &Client{node: node, fleet: fleet, http: client}
+}
+
+// RejectedError says that the node answered but did not take the request, so nothing was done.
+type RejectedError struct {
+	status int
+	text   string
+}
+
+// Status returns the HTTP status.
+func (e *RejectedError) Status() int { return e.status }
+
+// Error returns what the node said.
+func (e *RejectedError) Error() string { return fmt.Sprintf("HTTP %d: %s", e.status, e.text) }
+
+// NotSent tells whether a request failed before any of it reached the node, so that nothing was done.
+func NotSent(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
+// Publish publishes a change set and returns the receipt. On an error other than those of NotSent and
+// *RejectedError the change set may have been published.
+func (c *Client) Publish(ctx context.Context, change record.ChangeSet) (message.Receipt, error) {
+	body, err := EncodeChangeSet(change)
+	if err != nil {
+		return message.Receipt{}, err
+	}
+	data, err := c.do(ctx, http.MethodPost, "/publish", body, http.StatusUnprocessableEntity, http.StatusServiceUnavailable, http.StatusGatewayTimeout)
+	if err != nil {
+		return message.Receipt{}, err
+	}
+	r, err := DecodeReceipt(data)
+	return r, c.wrap("operator.publish", err)
+}
+
+// Status returns the status of the node.
+func (c *Client) Status(ctx context.Context) (message.Status, error) {
+	data, err := c.StatusJSON(ctx)
+	if err != nil {
+		return message.Status{}, err
+	}
+	s, err := DecodeStatus(data)
+	return s, c.wrap("operator.status", err)
+}
+
+// StatusJSON returns the status of the node as it is sent.
+func (c *Client) StatusJSON(ctx context.Context) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, "/status", nil)
+}
+
+// Drain tells the node to drain.
+func (c *Client) Drain(ctx context.Context) error {
+	_, err := c.do(ctx, http.MethodPost, "/drain", nil, http.StatusAccepted)
+	return err
+}
+
+// Outcome returns the outcome of a publish, or false if the node knows none.
+func (c *Client) Outcome(ctx context.Context, id record.PublishID) (record.Outcome, bool, error) {
+	data, err := c.do(ctx, http.MethodGet, "/outcome/"+id.String(), nil)
+	var rejected *RejectedError
+	if errors.As(err, &rejected) && rejected.status == http.StatusNotFound {
+		return record.Outcome{}, false, nil
+	}
+	if err != nil {
+		return record.Outcome{}, false, err
+	}
+	o, err := DecodeOutcome(data)
+	return o, err == nil, c.wrap("operator.outcome", err)
+}
+
+// Burn returns what the node counted against objectives.
+func (c *Client) Burn(ctx context.Context) (burn.Counts, error) {
+	data, err := c.do(ctx, http.MethodGet, "/burn", nil)
+	if err != nil {
+		return burn.Counts{}, err
+	}
+	counts, err := burn.DecodeCounts(data)
+	return counts, c.wrap("operator.burn", err)
+}
+
+// Records returns the configuration that the node holds.
+func (c *Client) Records(ctx context.Context) (Records, error) {
+	data, err := c.do(ctx, http.MethodGet, "/records", nil)
+	if err != nil {
+		return Records{}, err
+	}
+	r, err := DecodeRecords(data)
+	return r, c.wrap("operator.records", err)
+}
+
+// do returns the body of an answer with status 200 or one of those given.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, expected ...int) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.node.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, c.wrap("operator.request", err)
+	}
+	req.Header.Set(HeaderFleet, c.fleet)
+	req.Header.Set(HeaderProtocol, strconv.Itoa(Protocol))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, c.wrap("operator.request", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, c.wrap("operator.answer", err)
+	}
+	for _, status := range append(expected, http.StatusOK) {
+		if resp.StatusCode == status {
+			return data, nil
+		}
+	}
+	return nil, c.wrap("operator.answer", &RejectedError{status: resp.StatusCode, text: problem(data)})
+}
+
+func problem(data []byte) string {
+	var w wireProblem
+	if err := json.Unmarshal(data, &w); err != nil || w.Error == "" {
+		return string(data[:min(len(data), 200)])
+	}
+	return w.Error
+}
+
+func (c *Client) wrap(step string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return oops.In(step).With("peer", c.node.String()).Wrapf(err, "node %s", c.node)
+}
--- /dev/null
+++ b/operator/codec_receipt.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+const (
+	stateDecided     = "decided"
+	stateNotAppended = "not-appended"
+	stateUnknown     = "unknown"
+)
+
+// EncodeReceipt returns a receipt as JSON.
+func EncodeReceipt(r message.Receipt) ([]byte, error) {
+	w := wireReceipt{State: stateUnknown}
+	switch r.State() {
+	case message.ReceiptDecided:
+		w.State = stateDecided
+		w.Outcome = toWireOutcome(r.Outcome())
+	case message.ReceiptNotAppended:
+		w.State = stateNotAppended
+	}
+	if r.Err() != nil {
+		w.Error = r.Err().Error()
+	}
+	return json.Marshal(w)
+}
+
+// DecodeReceipt returns the receipt that EncodeReceipt wrote.
+func DecodeReceipt(data []byte) (message.Receipt, error) {
+	var w wireReceipt
+	if err := json.Unmarshal(data, &w); err != nil {
+		return message.Receipt{}, err
+	}
+	switch {
+	case w.State == stateDecided && w.Outcome != nil:
+		o, err := fromWireOutcome(w.Outcome)
+		return message.NewDecided(o), err
+	case w.State == stateNotAppended:
+		return message.NewUndecided(message.ReceiptNotAppended, textError(w.Error)), nil
+	case w.State == stateUnknown:
+		return message.NewUndecided(message.ReceiptUnknown, textError(w.Error)), nil
+	}
+	return message.Receipt{}, fmt.Errorf("receipt in state %q", w.State)
+}
+
+func textError(text string) error {
+	if text == "" {
+		return nil
+	}
+	return errors.New(text)
+}
+
+// EncodeOutcome returns an outcome as JSON.
+func EncodeOutcome(o record.Outcome) ([]byte, error) { return json.Marshal(toWireOutcome(o)) }
+
+// DecodeOutcome returns the outcome that EncodeOutcome wrote.
+func DecodeOutcome(data []byte) (record.Outcome, error) {
+	var w wireOutcome
+	if err := json.Unmarshal(data, &w); err != nil {
+		return record.Outcome{}, err
+	}
+	return fromWireOutcome(&w)
+}
+
+func toWireOutcome(o record.Outcome) *wireOutcome {
+	w := &wireOutcome{PublishID: o.Publish().String(), Accepted: o.Accepted(), Version: uint64(o.Version())}
+	for _, f := range o.Faults() {
+		wf := wireFault{Reason: f.Reason().String(), Field: f.Field(), Detail: f.Detail()}
+		if f.Record() != (record.ID{}) {
+			id := toWireID(f.Record())
+			wf.Record = &id
+		}
+		w.Faults = append(w.Faults, wf)
+	}
+	return w
+}
+
+func fromWireOutcome(w *wireOutcome) (record.Outcome, error) {
+	publish, err := uuid.Parse(w.PublishID)
+	if err != nil {
+		return record.Outcome{}, err
+	}
+	if w.Accepted {
+		return record.Accepted(publish, record.Version(w.Version)), nil
+	}
+	if len(w.Faults) == 0 {
+		return record.Outcome{}, errors.New("refused without a fault")
+	}
+	faults := make([]record.Fault, 0, len(w.Faults))
+	for _, wf := range w.Faults {
+		faults = append(faults, fromWireFault(wf))
+	}
+	return record.Refused(publish, record.Version(w.Version), faults), nil
+}
+
+func fromWireFault(w wireFault) record.Fault {
+	var id record.ID
+	if w.Record != nil {
+		kind, _ := record.ParseKind(w.Record.Kind)
+		id = record.NewID(kind, w.Record.Name)
+	}
+	return record.NewFault(parseReason(w.Reason), id, w.Field, w.Detail)
+}
+
+// parseReason returns the reason of that name, or the zero reason for one that a newer node names.
+func parseReason(name string) record.Reason {
+	for r := record.ReasonConflict; r <= record.ReasonMalformed; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/operator/port.go
@@ -0,0 +1,197 @@
+// Package operator is the operators' port of a node: the HTTP service through which the command line
+// publishes, asks and drains, and the client of that service.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bambooknot/bambooknot/burn"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/metric"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Headers that every request carries.
+const (
+	// HeaderFleet names the fleet that the operator means.
+	HeaderFleet = "Bambooknot-Fleet"
+	// HeaderProtocol holds the protocol version of the operator's program.
+	HeaderProtocol = "Bambooknot-Protocol"
+)
+
+// Protocol is the version of the operators' protocol.
+const Protocol = 1
+
+// MaxBody is the largest request body in bytes.
+const MaxBody = 4 << 20
+
+// Functions are what the port acts through. Each is called from many goroutines at once.
+type Functions struct {
+	Publish func(context.Context, record.ChangeSet) message.Receipt
+	Status  func() message.Status
+	Drain   func()                                        // starts draining and returns at once
+	Outcome func(record.PublishID) (record.Outcome, bool) // false if the node knows none
+	Burn    func() burn.Counts
+	Records func() Records
+}
+
+// Port serves the operators' requests. It is an http.Handler.
+type Port struct {
+	fleet string
+	fns   Functions
+	scope tally.Scope
+	mux   *http.ServeMux
+}
+
+// New returns the port of a node of that fleet.
+func New(fleet string, fns Functions, scope tally.Scope) *Port {
+	p := &Port{fleet: fleet, fns: fns, scope: scope, mux: http.NewServeMux()}
+	p.mux.HandleFunc("POST /publish", p.publish)
+	p.mux.HandleFunc("POST /drain", p.drain)
+	p.mux.HandleFunc("GET /status", p.status)
+	p.mux.HandleFunc("GET /outcome/{publish}", p.outcome)
+	p.mux.HandleFunc("GET /burn", p.burn)
+	p.mux.HandleFunc("GET /records", p.records)
+	return p
+}
+
+// ServeHTTP implements http.Handler. Nothing is done for a request of another fleet or protocol.
+func (p *Port) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(HeaderFleet) != p.fleet {
+		p.scope.Counter(metric.OperatorWrongFleet).Inc(1)
+		refuse(w, http.StatusForbidden, "this node belongs to another fleet than "+strconv.Quote(r.Header.Get(HeaderFleet)))
+		return
+	}
+	if r.Header.Get(HeaderProtocol) != strconv.Itoa(Protocol) {
+		p.scope.Counter(metric.OperatorWrongProtocol).Inc(1)
+		refuse(w, http.StatusUpgradeRequired, "this node speaks protocol "+strconv.Itoa(Protocol))
+		return
+	}
+	p.scope.Counter(metric.OperatorRequests).Inc(1)
+	p.mux.ServeHTTP(w, r)
+}
+
+func (p *Port) publish(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		p.scope.Counter(metric.OperatorMalformed).Inc(1)
+		refuse(w, bodyStatus(err), err.Error())
+		return
+	}
+	change, err := DecodeChangeSet(data)
+	if err != nil {
+		p.scope.Counter(metric.OperatorMalformed).Inc(1)
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	receipt := p.fns.Publish(r.Context(), change)
+	p.count(receipt)
+	answer, err := EncodeReceipt(receipt)
+	reply(w, receiptStatus(receipt), answer, err)
+}
+
+func bodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+func (p *Port) count(r message.Receipt) {
+	switch {
+	case r.State() == message.ReceiptNotAppended:
+		p.scope.Counter(metric.PublishNotAppended).Inc(1)
+	case r.State() != message.ReceiptDecided:
+		p.scope.Counter(metric.PublishUnknown).Inc(1)
+	case r.Outcome().Accepted():
+		p.scope.Counter(metric.PublishAccepted).Inc(1)
+	default:
+		p.scope.Counter(metric.PublishRefused).Inc(1)
+	}
+}
+
+func receiptStatus(r message.Receipt) int {
+	switch {
+	case r.State() == message.ReceiptNotAppended:
+		return http.StatusServiceUnavailable
+	case r.State() != message.ReceiptDecided:
+		return http.StatusGatewayTimeout
+	case r.Outcome().Accepted():
+		return http.StatusOK
+	}
+	return http.StatusUnprocessableEntity
+}
+
+func (p *Port) drain(w http.ResponseWriter, _ *http.Request) {
+	p.fns.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (p *Port) status(w http.ResponseWriter, _ *http.Request) {
+	data, err := EncodeStatus(p.fns.Status())
+	reply(w, http.StatusOK, data, err)
+}
+
+func (p *Port) outcome(w http.ResponseWriter, r *http.Request) {
+	id, err := uuid.Parse(r.PathValue("publish"))
+	if err != nil {
+		p.scope.Counter(metric.OperatorMalformed).Inc(1)
+		refuse(w, http.StatusBadRequest, "not a publish ID: "+err.Error())
+		return
+	}
+	outcome, ok := p.fns.Outcome(id)
+	if !ok {
+		refuse(w, http.StatusNotFound, "this node knows no outcome of "+id.String())
+		return
+	}
+	data, err := EncodeOutcome(outcome)
+	reply(w, http.StatusOK, data, err)
+}
+
+func (p *Port) burn(w http.ResponseWriter, _ *http.Request) {
+	data, err := burn.EncodeCounts(p.fns.Burn())
+	reply(w, http.StatusOK, data, err)
+}
+
+func (p *Port) records(w http.ResponseWriter, _ *http.Request) {
+	data, err := EncodeRecords(p.fns.Records())
+	reply(w, http.StatusOK, data, err)
+}
+
+func reply(w http.ResponseWriter, status int, data []byte, err error) {
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func refuse(w http.ResponseWriter, status int, text string) {
+	data, _ := json.Marshal(wireProblem{Error: text})
+	reply(w, status, data, nil)
+}
+
+// decodeStrict decodes one JSON value whose keys must all be known.
+func decodeStrict(data []byte, to any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(to); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the value")
+	}
+	return nil
+}
--- /dev/null
+++ b/tomldoc/document.go
@@ -0,0 +1,75 @@
+// Package tomldoc reads TOML documents key by key and collects every fault instead of stopping at the
+// first: wrong types, values out of range, missing keys and keys that nobody asked for.
+package tomldoc
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// MaxSize is the size in bytes above which a document is not read.
+const MaxSize = 4 << 20
+
+// Document is a parsed TOML document together with the faults found in it so far.
+type Document struct {
+	file   string
+	root   *Table
+	faults []Fault
+}
+
+// Load parses the file at path. A file that cannot be read or parsed gives a *FaultsError.
+func Load(path string) (*Document, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, single(path, 0, err.Error())
+	}
+	if info.Size() > MaxSize {
+		return nil, single(path, 0, fmt.Sprintf("%d bytes; allowed are %d", info.Size(), MaxSize))
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, single(path, 0, err.Error())
+	}
+	return Parse(path, data)
+}
+
+// Parse parses data, which faults call file. Data that is not TOML gives a *FaultsError.
+func Parse(file string, data []byte) (*Document, error) {
+	if len(data) > MaxSize {
+		return nil, single(file, 0, fmt.Sprintf("%d bytes; allowed are %d", len(data), MaxSize))
+	}
+	var values map[string]any
+	if _, err := toml.Decode(string(data), &values); err != nil {
+		return nil, syntaxFault(file, err)
+	}
+	d := &Document{file: file}
+	d.root = &Table{doc: d, values: values, read: make(map[string]bool)}
+	return d, nil
+}
+
+func syntaxFault(file string, err error) error {
+	var parseErr toml.ParseError
+	if errors.As(err, &parseErr) {
+		return single(file, parseErr.Position.Line, "not TOML: "+parseErr.Message)
+	}
+	return single(file, 0, "not TOML: "+err.Error())
+}
+
+func single(file string, line int, detail string) error {
+	return &FaultsError{faults: []Fault{{file: file, line: line, detail: detail}}}
+}
+
+// Root returns the top table.
+func (d *Document) Root() *Table { return d.root }
+
+// Err returns a *FaultsError with every fault, or nil. Keys that were not read by now are faults.
+func (d *Document) Err() error {
+	d.root.reportUnread()
+	if len(d.faults) == 0 {
+		return nil
+	}
+	return &FaultsError{faults: d.faults}
+}
--- /dev/null
+++ b/tomldoc/value.go
@@ -0,0 +1,183 @@
+package tomldoc
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// describe names a value in a fault.
+func describe(v any) string {
+	switch v := v.(type) {
+	case string:
+		return strconv.Quote(v)
+	case map[string]any:
+		return "a table"
+	case []any, []map[string]any:
+		return "an array"
+	}
+	return fmt.Sprint(v)
+}
+
+// Text returns a string, or fallback when the key is not set.
+func (t *Table) Text(key, fallback string) string {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	text, isText := v.(string)
+	if !isText {
+		t.Fault(key, "%s; allowed is a string", describe(v))
+		return fallback
+	}
+	return text
+}
+
+// Choice returns one of the allowed strings, or fallback when the key is not set.
+func (t *Table) Choice(key, fallback string, allowed ...string) string {
+	text := t.Text(key, fallback)
+	if t.Has(key) && !slices.Contains(allowed, text) {
+		t.Fault(key, "%q; allowed are %s", text, strings.Join(allowed, ", "))
+		return fallback
+	}
+	return text
+}
+
+// Bool returns a boolean, or fallback when the key is not set.
+func (t *Table) Bool(key string, fallback bool) bool {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	b, isBool := v.(bool)
+	if !isBool {
+		t.Fault(key, "%s; allowed are true and false", describe(v))
+		return fallback
+	}
+	return b
+}
+
+// Int returns an integer between low and high, or fallback when the key is not set.
+func (t *Table) Int(key string, fallback, low, high int64) int64 {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	n, isInt := v.(int64)
+	if !isInt || n < low || n > high {
+		t.Fault(key, "%s; allowed is a whole number from %d to %d", describe(v), low, high)
+		return fallback
+	}
+	return n
+}
+
+// Float returns a number between low and high, or fallback when the key is not set.
+func (t *Table) Float(key string, fallback, low, high float64) float64 {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	f, isNumber := number(v)
+	if !isNumber || math.IsNaN(f) || f < low || f > high {
+		t.Fault(key, "%s; allowed is a number from %v to %v", describe(v), low, high)
+		return fallback
+	}
+	return f
+}
+
+func number(v any) (float64, bool) {
+	switch n := v.(type) {
+	case float64:
+		return n, true
+	case int64:
+		return float64(n), true
+	}
+	return 0, false
+}
+
+// Duration returns a duration between low and high, written as "250ms" or "1m30s", or fallback when
+// the key is not set.
+func (t *Table) Duration(key string, fallback, low, high time.Duration) time.Duration {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	text, isText := v.(string)
+	d, err := time.ParseDuration(text)
+	if !isText || err != nil || d < low || d > high {
+		t.Fault(key, "%s; allowed is a duration from %q to %q, such as \"250ms\"", describe(v), low, high)
+		return fallback
+	}
+	return d
+}
+
+// AddrPort returns an IP address with a port other than zero. Without the key it returns the zero
+// address. Host names are faults, as nodes resolve none.
+func (t *Table) AddrPort(key string, fallback netip.AddrPort) netip.AddrPort {
+	v, ok := t.take(key)
+	if !ok {
+		return fallback
+	}
+	addr, isAddr := parseAddrPort(v)
+	if !isAddr {
+		t.Fault(key, "%s; allowed is an IP number with a port from 1 to 65535, such as \"127.0.0.1:7101\"", describe(v))
+		return fallback
+	}
+	return addr
+}
+
+func parseAddrPort(v any) (netip.AddrPort, bool) {
+	text, isText := v.(string)
+	addr, err := netip.ParseAddrPort(text)
+	if !isText || err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		return netip.AddrPort{}, false
+	}
+	return addr, true
+}
+
+// AddrPorts returns a list of up to limit addresses as AddrPort takes them.
+func (t *Table) AddrPorts(key string, limit int) []netip.AddrPort {
+	items := t.list(key, limit)
+	addrs := make([]netip.AddrPort, 0, len(items))
+	for i, item := range items {
+		addr, ok := parseAddrPort(item)
+		if !ok {
+			t.Fault(fmt.Sprintf("%s[%d]", key, i), "%s; allowed is an IP number with a port from 1 to 65535", describe(item))
+			continue
+		}
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
+// Texts returns a list of up to limit strings.
+func (t *Table) Texts(key string, limit int) []string {
+	items := t.list(key, limit)
+	texts := make([]string, 0, len(items))
+	for i, item := range items {
+		text, ok := item.(string)
+		if !ok {
+			t.Fault(fmt.Sprintf("%s[%d]", key, i), "%s; allowed is a string", describe(item))
+			continue
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
+func (t *Table) list(key string, limit int) []any {
+	v, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	items, isList := v.([]any)
+	if !isList || len(items) > limit {
+		t.Fault(key, "%s; allowed is an array of up to %d items", describe(v), limit)
+		return nil
+	}
+	return items
+}
