--- /dev/null
+++ b/wire/claims.go
@@ -0,0 +1,109 @@
+package wire
+
+import (
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// claimsWire holds claims about members. Regions, failure domains and services are written once per
+// frame and named by index, since most claims share them.
+type claimsWire struct {
+	_     struct{} `cbor:",toarray"`
+	Names []string
+	Rows  []claimRow
+}
+
+type claimRow struct {
+	_           struct{} `cbor:",toarray"`
+	Peer        []byte
+	Incarnation uint64
+	Revision    uint64
+	Region      uint16
+	Domain      uint16
+	Health      uint8
+	Service     uint16
+	State       uint8
+	Slots       uint32
+	Newest      uint16
+}
+
+func toClaims(members []member.Member) (*claimsWire, error) {
+	if len(members) == 0 {
+		return nil, nil
+	}
+	w := &claimsWire{Rows: make([]claimRow, 0, len(members))}
+	for _, m := range members {
+		row, err := w.row(m)
+		if err != nil {
+			return nil, err
+		}
+		w.Rows = append(w.Rows, row)
+	}
+	return w, nil
+}
+
+func (w *claimsWire) row(m member.Member) (claimRow, error) {
+	peer, err := m.Key().Peer().MarshalBinary()
+	if err != nil {
+		return claimRow{}, err
+	}
+	region, domain, service := string(m.Place().Region()), string(m.Place().FailureDomain()), m.Server().Service()
+	if max(len(region), len(domain), len(service)) > maxName {
+		return claimRow{}, errField
+	}
+	return claimRow{
+		Peer: peer, Incarnation: uint64(m.Key().Incarnation()), Revision: m.Revision(),
+		Region: w.index(region), Domain: w.index(domain), Health: uint8(m.Health()),
+		Service: w.index(service), State: uint8(m.Server().State()),
+		Slots: uint32(m.Server().Slots()), Newest: uint16(m.NewestSchema()),
+	}, nil
+}
+
+func (w *claimsWire) index(name string) uint16 {
+	for i, known := range w.Names {
+		if known == name {
+			return uint16(i)
+		}
+	}
+	w.Names = append(w.Names, name)
+	return uint16(len(w.Names) - 1)
+}
+
+func fromClaims(w *claimsWire) ([]member.Member, error) {
+	if w == nil {
+		return nil, nil
+	}
+	for _, name := range w.Names {
+		if len(name) > maxName {
+			return nil, errField
+		}
+	}
+	members := make([]member.Member, 0, len(w.Rows))
+	for _, row := range w.Rows {
+		m, err := w.member(row)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, m)
+	}
+	return members, nil
+}
+
+func (w *claimsWire) member(row claimRow) (member.Member, error) {
+	peer, err := parsePeer(row.Peer)
+	if err != nil {
+		return member.Member{}, err
+	}
+	if int(max(row.Region, row.Domain, row.Service)) >= len(w.Names) {
+		return member.Member{}, errField
+	}
+	health, state := member.Health(row.Health), member.ServerState(row.State)
+	if health < member.HealthAlive || health > member.HealthLeft || state > member.ServerDraining {
+		return member.Member{}, errField
+	}
+	place := member.NewPlace(member.Region(w.Names[row.Region]), member.FailureDomain(w.Names[row.Domain]))
+	key := member.NewKey(peer, member.Incarnation(row.Incarnation))
+	server := member.NewServer(w.Names[row.Service], state, int(row.Slots))
+	return member.New(key, place, record.Schema(row.Newest)).
+		WithRevision(row.Revision).WithHealth(health).WithServer(server), nil
+}
