--- a/message/operator.go
+++ b/message/operator.go
@@ -155,6 +155,12 @@
 	}
 }
 
+// WithStage returns a copy at another stage.
+func (s Status) WithStage(stage Stage) Status {
+	s.stage = stage
+	return s
+}
+
 // Stage returns the stage of the node's life.
 func (s Status) Stage() Stage { return s.stage }
 
