standin: backend server that counts executions

Failure tests need a server whose executions per request key can be counted and that can turn cold, drain, shed, stall and break an answer off.

--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,318 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// Headers that the stand-in server understands.
+const (
+	headerKey     = "Idempotency-Key"
+	headerOutcome = "Bambooknot-Outcome"
+	headerTimeout = "Bambooknot-Timeout-Ms"
+)
+
+// ServerState is what the server announces to the node beside it.
+type ServerState string
+
+// States that a server announces.
+const (
+	ServerCold     ServerState = "cold"
+	ServerReady    ServerState = "ready"
+	ServerDraining ServerState = "draining"
+)
+
+// ServerSettings describe how a stand-in server behaves.
+type ServerSettings struct {
+	Service    string        // name of the service
+	Slots      int           // calls that run at once; further calls wait inside the server
+	Work       time.Duration // time that one call takes
+	Cold       time.Duration // time after the start during which the server is cold
+	ColdFactor int           // a call takes that many times Work while the server is cold
+	Shed       int           // calls beyond that many, waiting ones included, are refused as not run; zero sheds nothing
+	HealthLag  time.Duration // age of the state that the health endpoint reports
+	HealthLies bool          // the health endpoint always reports ready
+}
+
+// Server is a stand-in for a backend server. It is an http.Handler that counts its executions.
+type Server struct {
+	settings ServerSettings
+	timers   *timer.Service
+	start    time.Time
+	slots    chan struct{}
+	calls    sync.WaitGroup
+
+	mu         sync.Mutex
+	draining   time.Time // when draining began, zero if it did not
+	pending    int
+	running    int
+	done       int
+	executions map[string]int
+	breakBody  int
+	stall      chan struct{}
+}
+
+// NewServer returns a server that is cold for settings.Cold from now on.
+func NewServer(settings ServerSettings, timers *timer.Service) *Server {
+	if settings.Slots <= 0 {
+		settings.Slots = 1
+	}
+	return &Server{
+		settings:   settings,
+		timers:     timers,
+		start:      timers.Now(),
+		slots:      make(chan struct{}, settings.Slots),
+		executions: make(map[string]int),
+	}
+}
+
+// State returns the true state of the server.
+func (s *Server) State() ServerState { return s.stateAt(s.timers.Now()) }
+
+func (s *Server) stateAt(at time.Time) ServerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.draining.IsZero() && !at.Before(s.draining) {
+		return ServerDraining
+	}
+	if at.Before(s.start.Add(s.settings.Cold)) {
+		return ServerCold
+	}
+	return ServerReady
+}
+
+// Drain makes the server announce that it is draining. Calls are still served.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.IsZero() {
+		s.draining = s.timers.Now()
+	}
+}
+
+// Close waits until no call is running.
+func (s *Server) Close() { s.calls.Wait() }
+
+// Executions returns how often the call with that key was started.
+func (s *Server) Executions(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executions[key]
+}
+
+// Done returns the number of calls that ran to their end.
+func (s *Server) Done() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done
+}
+
+// Running returns the number of calls that are running.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+// BreakAnswers makes the server break the connection in the middle of the next count answers.
+func (s *Server) BreakAnswers(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakBody = count
+}
+
+// Stall makes every running call hang until the function returned is called.
+func (s *Server) Stall() (resume func()) {
+	stalled := make(chan struct{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stall = stalled
+	return sync.OnceFunc(func() {
+		s.mu.Lock()
+		s.stall = nil
+		s.mu.Unlock()
+		close(stalled)
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/health":
+		s.serveHealth(w)
+	case strings.HasPrefix(r.URL.Path, "/control/"):
+		s.serveControl(w, r)
+	default:
+		s.serveCall(w, r)
+	}
+}
+
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	defer s.calls.Done()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	deadline := s.deadline(r)
+	if !s.enter() {
+		refuse(w, "shed")
+		return
+	}
+	defer s.leave()
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	if !deadline.IsZero() && !s.timers.Now().Before(deadline) {
+		refuse(w, "deadline passed")
+		return
+	}
+	s.run(w, r, body)
+}
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request, body []byte) {
+	broken := s.begin(r.Header.Get(headerKey))
+	defer s.end()
+	if !s.work(r) {
+		return
+	}
+	if broken {
+		breakAnswer(w)
+	}
+	s.finish()
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, "done "+r.Method+" "+r.URL.RequestURI()+"\n")
+	_, _ = w.Write(body)
+}
+
+// work takes the time of one call and tells whether the call was not cancelled meanwhile.
+func (s *Server) work(r *http.Request) bool {
+	s.mu.Lock()
+	stalled := s.stall
+	s.mu.Unlock()
+	if stalled != nil {
+		select {
+		case <-stalled:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	d := s.settings.Work
+	if s.settings.ColdFactor > 1 && s.State() == ServerCold {
+		d *= time.Duration(s.settings.ColdFactor)
+	}
+	if d <= 0 {
+		return true
+	}
+	done := make(chan struct{})
+	sub := s.timers.After(d, func(time.Time) { close(done) })
+	defer sub.Close()
+	select {
+	case <-done:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func breakAnswer(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "1000")
+	_, _ = io.WriteString(w, "done, but")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(headerOutcome, "not-run")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (s *Server) deadline(r *http.Request) time.Time {
+	ms, err := strconv.Atoi(r.Header.Get(headerTimeout))
+	if err != nil {
+		return time.Time{}
+	}
+	return s.timers.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settings.Shed > 0 && s.pending >= s.settings.Shed {
+		return false
+	}
+	s.pending++
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending--
+}
+
+func (s *Server) begin(key string) (broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	if key != "" {
+		s.executions[key]++
+	}
+	if s.breakBody > 0 {
+		s.breakBody--
+		return true
+	}
+	return false
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Server) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done++
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter) {
+	state := s.stateAt(s.timers.Now().Add(-s.settings.HealthLag))
+	if s.settings.HealthLies {
+		state = ServerReady
+	}
+	writeJSON(w, map[string]string{"state": string(state)})
+}
+
+func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/control/executions":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, s.executions)
+	case "/control/drain":
+		s.Drain()
+		w.WriteHeader(http.StatusNoContent)
+	case "/control/done":
+		writeJSON(w, s.Done())
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
