--- /dev/null
+++ b/operator/port_test.go
@@ -0,0 +1,197 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bambooknot/bambooknot/burn"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/metric"
+	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+const fleet = "kovani-dvor"
+
+var (
+	publishID = record.PublishID{1, 2, 3}
+	peer      = netip.MustParseAddrPort("10.1.0.12:7100")
+	key       = member.NewKey(peer, 1<<63+1)
+	then      = time.Date(2026, 12, 3, 10, 0, 0, 0, time.UTC)
+)
+
+// fakeNode records what reaches the functions of a port.
+type fakeNode struct {
+	published []record.ChangeSet
+	drains    int
+	receipt   message.Receipt
+}
+
+func (n *fakeNode) functions() operator.Functions {
+	return operator.Functions{
+		Publish: func(_ context.Context, c record.ChangeSet) message.Receipt {
+			n.published = append(n.published, c)
+			return n.receipt
+		},
+		Status: sampleStatus,
+		Drain:  func() { n.drains++ },
+		Outcome: func(id record.PublishID) (record.Outcome, bool) {
+			return record.Accepted(id, 7), id == publishID
+		},
+		Burn: func() burn.Counts { return burn.Counts{} },
+		Records: func() operator.Records {
+			return operator.NewRecords(7, 2, []record.Record{record.NewService(2, "s", 3)})
+		},
+	}
+}
+
+func sampleStatus() message.Status {
+	place := member.NewPlace("jadran", "split")
+	self := member.New(key, place, record.Schema2).WithRevision(1<<60 + 1).WithServer(member.NewServer("s", member.ServerReady, 18))
+	other := member.New(member.NewKey(netip.MustParseAddrPort("[::1]:7100"), 2), place, record.Schema1).WithHealth(member.HealthDead)
+	return message.NewStatus(message.StatusFields{
+		Stage: message.StageServing, Self: self, Digest: message.NewDigest(7, 9, 1<<63+5), Level: 2,
+		LogFault: errors.New("log down"), LogSeen: then, Roles: []string{"log reader"},
+		Members: []member.Member{self, other}, NeedLevel: 3,
+		Census: []message.Census{message.NewCensus("jadran",
+			[]message.VersionCount{message.NewVersionCount(7, 2), message.NewVersionCount(5, 1)},
+			[]message.Laggard{message.NewLaggard(key, 5)}, then)},
+	})
+}
+
+func startPort(t *testing.T, node *fakeNode, fleetAsked string) (*operator.Client, tally.TestScope, string) {
+	scope := tally.NewTestScope("", nil)
+	server := httptest.NewServer(operator.New(fleet, node.functions(), scope))
+	t.Cleanup(server.Close)
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return operator.NewClient(addr, fleetAsked, server.Client()), scope, server.URL
+}
+
+func counted(scope tally.TestScope, name string) int64 {
+	c, ok := scope.Snapshot().Counters()[name+"+"]
+	if !ok {
+		return 0
+	}
+	return c.Value()
+}
+
+func TestPublishReceipts(t *testing.T) {
+	faults := []record.Fault{
+		record.NewFault(record.ReasonConflict, record.NewID(record.KindRoute, "r"), "", "changed by version 6"),
+		record.NewFault(record.ReasonTooLarge, record.ID{}, "", "too large"),
+	}
+	for _, test := range []struct {
+		name    string
+		receipt message.Receipt
+		counter string
+	}{
+		{"accepted", message.NewDecided(record.Accepted(publishID, 8)), metric.PublishAccepted},
+		{"refused", message.NewDecided(record.Refused(publishID, 6, faults)), metric.PublishRefused},
+		{"not appended", message.NewUndecided(message.ReceiptNotAppended, errors.New("down")), metric.PublishNotAppended},
+		{"unknown", message.NewUndecided(message.ReceiptUnknown, errors.New("slow")), metric.PublishUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			node := &fakeNode{receipt: test.receipt}
+			client, scope, _ := startPort(t, node, fleet)
+			c := changeSets.Example(3)
+			got, err := client.Publish(t.Context(), c)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, got.State(), qt.Equals, test.receipt.State())
+			qt.Check(t, reflect.DeepEqual(got.Outcome(), test.receipt.Outcome()), qt.IsTrue)
+			qt.Check(t, reflect.DeepEqual(node.published, []record.ChangeSet{c}), qt.IsTrue)
+			qt.Check(t, counted(scope, test.counter), qt.Equals, int64(1))
+		})
+	}
+}
+
+func TestStatusRoundTrip(t *testing.T) {
+	client, _, _ := startPort(t, &fakeNode{}, fleet)
+	got, err := client.Status(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	want := sampleStatus()
+	qt.Check(t, got.LogFault(), qt.ErrorMatches, "log down")
+	qt.Check(t, reflect.DeepEqual(got.Members(), want.Members()), qt.IsTrue)
+	qt.Check(t, reflect.DeepEqual(got.Self(), want.Self()), qt.IsTrue)
+	qt.Check(t, reflect.DeepEqual(got.Census(), want.Census()), qt.IsTrue)
+	qt.Check(t, got.Digest(), qt.Equals, want.Digest())
+	qt.Check(t, got.NeedLevel(), qt.Equals, want.NeedLevel())
+	qt.Check(t, got.LogSeen().Equal(want.LogSeen()), qt.IsTrue)
+	qt.Check(t, got.Roles(), qt.DeepEquals, want.Roles())
+}
+
+func TestOutcomeRecordsDrain(t *testing.T) {
+	node := &fakeNode{}
+	client, _, _ := startPort(t, node, fleet)
+	outcome, ok, err := client.Outcome(t.Context(), publishID)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, outcome.Version(), qt.Equals, record.Version(7))
+	_, ok, err = client.Outcome(t.Context(), record.PublishID{9})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, ok, qt.IsFalse)
+	records, err := client.Records(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, records.Records(), qt.HasLen, 1)
+	qt.Check(t, records.Version(), qt.Equals, record.Version(7))
+	qt.Assert(t, client.Drain(t.Context()), qt.IsNil)
+	qt.Check(t, node.drains, qt.Equals, 1)
+}
+
+// TestRefusedBeforeActing checks that requests of another fleet, protocol or size reach no function.
+func TestRefusedBeforeActing(t *testing.T) {
+	for _, test := range []struct {
+		name, fleet, protocol, path, body string
+		status                            int
+		counter                           string
+	}{
+		{"no fleet", "", "1", "/drain", "", http.StatusForbidden, metric.OperatorWrongFleet},
+		{"other fleet", "cloghan", "1", "/drain", "", http.StatusForbidden, metric.OperatorWrongFleet},
+		{"no protocol", fleet, "", "/drain", "", http.StatusUpgradeRequired, metric.OperatorWrongProtocol},
+		{"other protocol", fleet, "2", "/drain", "", http.StatusUpgradeRequired, metric.OperatorWrongProtocol},
+		{"not JSON", fleet, "1", "/publish", "{", http.StatusBadRequest, metric.OperatorMalformed},
+		{"unknown key", fleet, "1", "/publish", `{"colour": 1}`, http.StatusBadRequest, metric.OperatorMalformed},
+		{"no publish ID", fleet, "1", "/publish", `{}`, http.StatusBadRequest, metric.OperatorMalformed},
+		{"too large", fleet, "1", "/publish", strings.Repeat(" ", operator.MaxBody+1), http.StatusRequestEntityTooLarge, metric.OperatorMalformed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			node := &fakeNode{}
+			_, scope, url := startPort(t, node, fleet)
+			req, err := http.NewRequest(http.MethodPost, url+test.path, strings.NewReader(test.body))
+			qt.Assert(t, err, qt.IsNil)
+			req.Header.Set(operator.HeaderFleet, test.fleet)
+			req.Header.Set(operator.HeaderProtocol, test.protocol)
+			resp, err := http.DefaultClient.Do(req)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, resp.Body.Close(), qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			qt.Check(t, counted(scope, test.counter), qt.Equals, int64(1))
+			qt.Check(t, node.drains+len(node.published), qt.Equals, 0)
+		})
+	}
+}
+
+func TestClientErrors(t *testing.T) {
+	node := &fakeNode{}
+	client, _, _ := startPort(t, node, "cloghan")
+	var rejected *operator.RejectedError
+	_, err := client.Status(t.Context())
+	qt.Assert(t, errors.As(err, &rejected), qt.IsTrue)
+	qt.Check(t, rejected.Status(), qt.Equals, http.StatusForbidden)
+	qt.Check(t, operator.NotSent(err), qt.IsFalse)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(closed.URL, "http://"))
+	closed.Close()
+	_, err = operator.NewClient(addr, fleet, http.DefaultClient).Status(t.Context())
+	qt.Check(t, operator.NotSent(err), qt.IsTrue)
+}
