--- a/standin/server.go
+++ b/standin/server.go
@@ -163,7 +163,7 @@
 	}
 	deadline := s.deadline(r)
 	if !s.enter() {
-		refuse(w, "shed")
+		refuseCall(w, "shed")
 		return
 	}
 	defer s.leave()
@@ -174,7 +174,7 @@
 	}
 	defer func() { <-s.slots }()
 	if !deadline.IsZero() && !s.timers.Now().Before(deadline) {
-		refuse(w, "deadline passed")
+		refuseCall(w, "deadline passed")
 		return
 	}
 	s.run(w, r, body)
@@ -232,7 +232,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-func refuse(w http.ResponseWriter, reason string) {
+func refuseCall(w http.ResponseWriter, reason string) {
 	w.Header().Set(headerOutcome, "not-run")
 	w.Header().Set("Retry-After", "1")
 	http.Error(w, reason, http.StatusServiceUnavailable)
