fleet: membership by probes, news, comparison of views and rendezvous

Cause: nodes must learn of each other, of drains and of crashes without a list, a fixed VM or a mesh.

--- /dev/null
+++ b/fleet/news.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+)
+
+// Room for claims in a datagram, in bytes. The rest is for the frame's header and the other fields.
+const (
+	probeRoom  = 800
+	claimsRoom = 1100
+)
+
+// retransmitFactor times the decimal logarithm of the fleet's size is how often a node sends one claim.
+const retransmitFactor = 4
+
+// enqueue makes the claim of e news.
+func (m *Machine) enqueue(e *entry) {
+	e.sends = 0
+	if !e.queued {
+		e.queued = true
+		m.queue = append(m.queue, e)
+	}
+}
+
+func (m *Machine) retransmits() int {
+	return retransmitFactor * int(math.Ceil(math.Log10(float64(len(m.table.entries)+1))))
+}
+
+// news takes claims that fit into room bytes from the queue, least sent first, for copies receivers.
+func (m *Machine) news(room, copies int) []member.Member {
+	if len(m.queue) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(m.queue, func(a, b *entry) int { return a.sends - b.sends })
+	p := packer{room: room}
+	for _, e := range m.queue {
+		if !p.add(e.claim) {
+			break
+		}
+		e.sends += copies
+	}
+	m.prune()
+	return p.claims
+}
+
+func (m *Machine) prune() {
+	limit := m.retransmits()
+	m.queue = slices.DeleteFunc(m.queue, func(e *entry) bool {
+		e.queued = e.sends < limit
+		return !e.queued
+	})
+}
+
+// spread sends the news to some members of the region.
+func (m *Machine) spread() {
+	if len(m.queue) == 0 {
+		return
+	}
+	targets := m.pick(m.settings.GossipFanout, m.regional())
+	if len(targets) == 0 {
+		return
+	}
+	body := message.NewClaims(m.news(claimsRoom, len(targets)))
+	for _, e := range targets {
+		m.send(e.peer(), body)
+	}
+}
+
+// announce sends a claim made here at once, to the gateways of the region before all others.
+func (m *Machine) announce(e *entry) {
+	body := message.NewClaims([]member.Member{e.claim})
+	for _, g := range m.gateways(m.region()) {
+		if g != m.self {
+			m.send(g.peer(), body)
+		}
+	}
+	for _, t := range m.pick(m.settings.GossipFanout, m.regional()) {
+		m.send(t.peer(), body)
+		e.sends++
+	}
+}
+
+// pick returns up to n random entries other than the node itself.
+func (m *Machine) pick(n int, from []*entry) []*entry {
+	var picked []*entry
+	for range 3 * n {
+		if len(picked) == n || len(from) == 0 {
+			break
+		}
+		e := from[m.rnd.IntN(len(from))]
+		if e != m.self && !slices.Contains(picked, e) {
+			picked = append(picked, e)
+		}
+	}
+	return picked
+}
+
+// packer collects claims up to a size on the wire.
+type packer struct {
+	room   int
+	names  []string
+	claims []member.Member
+}
+
+// add takes a claim if it fits.
+func (p *packer) add(c member.Member) bool {
+	size := claimSize(c)
+	var fresh []string
+	for _, name := range []string{string(c.Place().Region()), string(c.Place().FailureDomain()), c.Server().Service()} {
+		if !slices.Contains(p.names, name) && !slices.Contains(fresh, name) {
+			fresh = append(fresh, name)
+			size += nameBytes + len(name)
+		}
+	}
+	if size > p.room {
+		return false
+	}
+	p.room -= size
+	p.names = append(p.names, fresh...)
+	p.claims = append(p.claims, c)
+	return true
+}
+
+// Sizes on the wire, in bytes.
+const (
+	rowBytes   = 1     // head of a claim
+	peerBytes  = 1 + 2 // length and port of an address
+	indexBytes = 3 * 2 // indexes of three names
+	stateBytes = 2 * 1 // health and state of the server
+	nameBytes  = 2     // length of a name
+)
+
+// claimSize returns the largest size of a claim on the wire, without its names.
+func claimSize(c member.Member) int {
+	size := rowBytes + peerBytes + indexBytes + stateBytes + c.Key().Peer().Addr().BitLen()/8
+	size += numberSize(uint64(c.Key().Incarnation())) + numberSize(c.Revision())
+	return size + numberSize(uint64(c.Server().Slots())) + numberSize(uint64(c.NewestSchema()))
+}
+
+// numberSize returns the size of a number in CBOR.
+func numberSize(n uint64) int {
+	switch {
+	case n < 24:
+		return 1
+	case n <= math.MaxUint8:
+		return 2
+	case n <= math.MaxUint16:
+		return 3
+	case n <= math.MaxUint32:
+		return 5
+	}
+	return 9
+}
--- /dev/null
+++ b/fleet/region.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+)
+
+const (
+	// contactSlack is added to ages of contacts heard from others, for the time on the way.
+	contactSlack = 100 * time.Millisecond
+	// maxContacts bounds the regions remembered.
+	maxContacts = 4
+	// crossCopies is how often a gateway sends one claim to another region.
+	crossCopies = 2
+	// otherRegion stands for any region but the node's own.
+	otherRegion member.Region = "\x00other"
+)
+
+// contact is when anybody of this region was last known to hear from another region.
+type contact struct {
+	region member.Region
+	at     time.Time
+}
+
+// crossState is what a node does as a gateway, and what it knows of other regions.
+type crossState struct {
+	started  time.Time
+	next     time.Time
+	contacts []contact
+	queue    []*entry
+	silent   int // probes of other regions since the last answer
+}
+
+func (c *crossState) slept(gap time.Duration) {
+	c.started = c.started.Add(gap)
+	for i := range c.contacts {
+		c.contacts[i].at = c.contacts[i].at.Add(gap)
+	}
+}
+
+// heardFrom notes a contact, if it is newer than the one known.
+func (c *crossState) heardFrom(region member.Region, at time.Time) {
+	for i := range c.contacts {
+		if c.contacts[i].region == region {
+			if at.After(c.contacts[i].at) {
+				c.contacts[i].at = at
+			}
+			return
+		}
+	}
+	if len(c.contacts) < maxContacts {
+		c.contacts = append(c.contacts, contact{region: region, at: at})
+	}
+}
+
+// regionOf returns the node's own region if the sender is of it or unknown, and otherRegion if not.
+func (m *Machine) regionOf(from member.Key) member.Region {
+	if e := m.table.byPeer[from.Peer()]; e != nil && e.region() != m.region() {
+		return otherRegion
+	}
+	return m.region()
+}
+
+func (m *Machine) mergeContacts(from member.Key, contacts []message.Contact) {
+	e := m.table.byPeer[from.Peer()]
+	if e == nil {
+		return
+	}
+	if e.region() != m.region() {
+		m.cross.heardFrom(e.region(), m.now)
+		m.cross.silent = 0
+		return
+	}
+	for _, c := range contacts {
+		if c.Region() != m.region() {
+			m.cross.heardFrom(c.Region(), m.now.Add(-c.Age()-contactSlack))
+		}
+	}
+}
+
+func (m *Machine) contacts() []message.Contact {
+	contacts := make([]message.Contact, 0, len(m.cross.contacts))
+	for _, c := range m.cross.contacts {
+		contacts = append(contacts, message.NewContact(c.region, m.now.Sub(c.at)))
+	}
+	return contacts
+}
+
+// silence returns for how long nothing was heard from a region, zero for the node's own.
+func (m *Machine) silence(region member.Region) time.Duration {
+	if region == m.region() {
+		return 0
+	}
+	for _, c := range m.cross.contacts {
+		if c.region == region {
+			return m.now.Sub(c.at)
+		}
+	}
+	return m.now.Sub(m.cross.started)
+}
+
+// gateways returns the members that talk to other regions, best first: by hash, and from different
+// failure domains as long as there are any. Nodes with different views may disagree.
+func (m *Machine) gateways(region member.Region) []*entry {
+	return m.rosterOf(region).gateways
+}
+
+func (m *Machine) gatewayRank() int { return slices.Index(m.gateways(m.region()), m.self) }
+
+// crossEnqueue makes a claim news for other regions, if the node is a gateway.
+func (m *Machine) crossEnqueue(e *entry) {
+	if m.gatewayRank() < 0 {
+		return
+	}
+	e.crossSends = crossCopies
+	if !slices.Contains(m.cross.queue, e) {
+		m.cross.queue = append(m.cross.queue, e)
+	}
+}
+
+// crossSpread sends news of this region to the other regions.
+func (m *Machine) crossSpread() {
+	if len(m.cross.queue) == 0 {
+		return
+	}
+	p := packer{room: claimsRoom}
+	for _, e := range m.cross.queue {
+		if !p.add(e.claim) {
+			break
+		}
+		e.crossSends--
+	}
+	for _, region := range m.otherRegions() {
+		if to := m.crossTarget(region); to != nil {
+			m.send(to.peer(), message.NewClaims(p.claims))
+		}
+	}
+	m.cross.queue = slices.DeleteFunc(m.cross.queue, func(e *entry) bool { return e.crossSends <= 0 })
+}
+
+// crossTick probes the other regions, and a dead member of this one, if the node is a gateway.
+func (m *Machine) crossTick() {
+	if m.now.Before(m.cross.next) {
+		return
+	}
+	m.cross.next = m.now.Add(m.settings.GatewayPeriod)
+	if m.gatewayRank() < 0 {
+		return
+	}
+	for _, region := range m.otherRegions() {
+		if to := m.crossTarget(region); to != nil {
+			m.ping(to)
+			m.cross.silent++
+		}
+	}
+	m.reviveOne()
+}
+
+// crossTarget returns the gateway of a region that has this node's rank, or any member while the
+// gateways do not answer.
+func (m *Machine) crossTarget(region member.Region) *entry {
+	r := m.rosterOf(region)
+	if len(r.members) == 0 {
+		return nil
+	}
+	if m.cross.silent > 1 {
+		return r.members[m.rnd.IntN(len(r.members))]
+	}
+	return r.gateways[max(m.gatewayRank(), 0)%len(r.gateways)]
+}
+
+// reviveOne probes a member of the region that is held for dead, so that two halves of a region that
+// declared each other dead meet again.
+func (m *Machine) reviveOne() {
+	var dead []*entry
+	for _, e := range m.table.entries {
+		if e.claim.Health() == member.HealthDead && e.region() == m.region() {
+			dead = append(dead, e)
+		}
+	}
+	if len(dead) > 0 {
+		m.ping(dead[m.rnd.IntN(len(dead))])
+	}
+}
--- /dev/null
+++ b/fleet/settings.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings say whom to contact first and how often to do what. Zero values mean the defaults.
+type Settings struct {
+	// Fleet is the name of the fleet, which marks the entries of the rendezvous stream.
+	Fleet string
+	// Hints are addresses of nodes that probably live. There may be none.
+	Hints []netip.AddrPort
+	// ProbePeriod is the time between two probes that a node starts.
+	ProbePeriod time.Duration
+	// AckTimeout is how long a probe waits before others are asked to probe too.
+	AckTimeout time.Duration
+	// IndirectProbes is how many members are asked.
+	IndirectProbes int
+	// SuspectTimeout is how long a suspect member may refute before it counts as dead.
+	SuspectTimeout time.Duration
+	// GossipPeriod is the time between two rounds of news.
+	GossipPeriod time.Duration
+	// GossipFanout is the number of members that get the news in a round.
+	GossipFanout int
+	// Retention is how long claims of dead and left members are kept.
+	Retention time.Duration
+	// PauseGap is the time between two calls of the machine from which on it takes itself for paused.
+	PauseGap time.Duration
+	// SyncSettle is how long a view must be unchanged before a difference of views counts as loss.
+	SyncSettle time.Duration
+	// SyncDatagrams is the number of datagrams a second spent on answers to comparisons of views.
+	SyncDatagrams int
+	// Gateways is the number of nodes per region that talk to other regions.
+	Gateways int
+	// GatewayPeriod is the time between two probes by a gateway of another region.
+	GatewayPeriod time.Duration
+	// RegionLost is how long a region may be silent before its members are marked suspect in the view.
+	RegionLost time.Duration
+	// RegionExpiry is how long a region may be silent before its members leave the view.
+	RegionExpiry time.Duration
+	// RendezvousRead is the time between two reads of the rendezvous stream by a gateway.
+	RendezvousRead time.Duration
+	// RendezvousAge is the age of the newest entry of the rendezvous stream from which on a gateway
+	// appends, and the least time between two appends of one node.
+	RendezvousAge time.Duration
+}
+
+// Defaults of Settings.
+const (
+	DefaultProbePeriod    = time.Second
+	DefaultAckTimeout     = 300 * time.Millisecond
+	DefaultIndirectProbes = 3
+	DefaultSuspectTimeout = 3 * time.Second
+	DefaultGossipPeriod   = 200 * time.Millisecond
+	DefaultGossipFanout   = 3
+	DefaultRetention      = 5 * time.Minute
+	DefaultPauseGap       = 500 * time.Millisecond
+	DefaultSyncSettle     = 3 * time.Second
+	DefaultSyncDatagrams  = 64
+	DefaultGateways       = 2
+	DefaultGatewayPeriod  = 2 * time.Second
+	DefaultRegionLost     = 20 * time.Second
+	DefaultRegionExpiry   = time.Hour
+	DefaultRendezvousRead = 20 * time.Second
+	DefaultRendezvousAge  = time.Minute
+)
+
+func (s Settings) withDefaults() Settings {
+	setDuration(&s.ProbePeriod, DefaultProbePeriod)
+	setDuration(&s.AckTimeout, DefaultAckTimeout)
+	setDuration(&s.SuspectTimeout, DefaultSuspectTimeout)
+	setDuration(&s.GossipPeriod, DefaultGossipPeriod)
+	setDuration(&s.Retention, DefaultRetention)
+	setDuration(&s.PauseGap, DefaultPauseGap)
+	setDuration(&s.SyncSettle, DefaultSyncSettle)
+	setDuration(&s.GatewayPeriod, DefaultGatewayPeriod)
+	setDuration(&s.RegionLost, DefaultRegionLost)
+	setDuration(&s.RegionExpiry, DefaultRegionExpiry)
+	setDuration(&s.RendezvousRead, DefaultRendezvousRead)
+	setDuration(&s.RendezvousAge, DefaultRendezvousAge)
+	setCount(&s.IndirectProbes, DefaultIndirectProbes)
+	setCount(&s.GossipFanout, DefaultGossipFanout)
+	setCount(&s.SyncDatagrams, DefaultSyncDatagrams)
+	setCount(&s.Gateways, DefaultGateways)
+	return s
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func setCount(n *int, value int) {
+	if *n == 0 {
+		*n = value
+	}
+}
--- a/message/membership.go
+++ b/message/membership.go
@@ -151,28 +151,43 @@
 // Claims returns the claims. The caller must not change it.
 func (c Claims) Claims() []member.Member { return c.claims }
 
+// MaxName bounds the names of regions, failure domains and services in claims, in bytes.
+const MaxName = 64
+
 // SyncBuckets is the number of buckets into which a view is split for comparison.
 const SyncBuckets = 64
 
-// SyncReq compares two views bucket by bucket. The receiver sends its claims of the buckets whose
-// hashes differ.
+// SyncMode says what the sender of a SyncReq wants.
+type SyncMode uint8
+
+// Modes of a SyncReq.
+const (
+	// SyncCompare: the receiver sends its claims of the buckets that differ, then its own hashes.
+	SyncCompare SyncMode = iota + 1
+	// SyncJoin: as SyncCompare, from a node that knows nobody yet. The receiver may refer it to others.
+	SyncJoin
+	// SyncEcho: the answer to the two others; the receiver sends its claims of the buckets that differ.
+	SyncEcho
+)
+
+// SyncReq compares two views bucket by bucket.
 type SyncReq struct {
-	echo   bool
+	mode   SyncMode
 	hashes [SyncBuckets]uint32
 	claims []member.Member
 }
 
-// NewSyncReq returns a comparison of views. With echo, the receiver also sends its own hashes back,
-// without echo. The sender's own claim is among the claims. It keeps the slice.
-func NewSyncReq(echo bool, hashes [SyncBuckets]uint32, claims []member.Member) SyncReq {
-	return SyncReq{echo: echo, hashes: hashes, claims: claims}
+// NewSyncReq returns a comparison of views. The sender's own claim is among the claims. It keeps the
+// slice.
+func NewSyncReq(mode SyncMode, hashes [SyncBuckets]uint32, claims []member.Member) SyncReq {
+	return SyncReq{mode: mode, hashes: hashes, claims: claims}
 }
 
 // Peer implements Peer.
 func (SyncReq) Peer() {}
 
-// Echo tells whether the sender wants the receiver's hashes.
-func (s SyncReq) Echo() bool { return s.echo }
+// Mode tells what the sender wants.
+func (s SyncReq) Mode() SyncMode { return s.mode }
 
 // Hashes returns the hash over the sender's members in each bucket.
 func (s SyncReq) Hashes() [SyncBuckets]uint32 { return s.hashes }
--- a/wire/claims.go
+++ b/wire/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/record"
 )
 
@@ -48,7 +49,7 @@
 		return claimRow{}, err
 	}
 	region, domain, service := string(m.Place().Region()), string(m.Place().FailureDomain()), m.Server().Service()
-	if max(len(region), len(domain), len(service)) > maxName {
+	if max(len(region), len(domain), len(service)) > message.MaxName {
 		return claimRow{}, errField
 	}
 	return claimRow{
@@ -74,7 +75,7 @@
 		return nil, nil
 	}
 	for _, name := range w.Names {
-		if len(name) > maxName {
+		if len(name) > message.MaxName {
 			return nil, errField
 		}
 	}
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -37,7 +37,7 @@
 		message.NewPingReq(4, sender),
 		message.NewPingReqAck(5, sender),
 		message.NewClaims(sample(20)),
-		message.NewSyncReq(true, [message.SyncBuckets]uint32{1, 2, 3}, sample(1)),
+		message.NewSyncReq(message.SyncJoin, [message.SyncBuckets]uint32{1, 2, 3}, sample(1)),
 	}
 }
 
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -22,9 +22,6 @@
 	codeSyncReq    Code = 6
 )
 
-// maxName bounds the names of regions, failure domains and services, in bytes.
-const maxName = 128
-
 // contactUnit is the unit of contact ages on the wire. Ages are rounded up.
 const contactUnit = 100 * time.Millisecond
 
@@ -80,7 +77,7 @@
 }
 
 type syncWire struct {
-	Echo   bool        `cbor:"1,keyasint,omitempty"`
+	Mode   uint8       `cbor:"1,keyasint"`
 	Hashes []byte      `cbor:"2,keyasint"`
 	Claims *claimsWire `cbor:"3,keyasint,omitempty"`
 }
@@ -144,7 +141,7 @@
 func fromContacts(rows []contactRow) ([]message.Contact, error) {
 	var contacts []message.Contact
 	for _, r := range rows {
-		if len(r.Region) > maxName || r.Units > maxContactUnits {
+		if len(r.Region) > message.MaxName || r.Units > maxContactUnits {
 			return nil, errField
 		}
 		contacts = append(contacts, message.NewContact(member.Region(r.Region), time.Duration(r.Units)*contactUnit))
@@ -219,7 +216,7 @@
 	for _, h := range s.Hashes() {
 		hashes = binary.BigEndian.AppendUint32(hashes, h)
 	}
-	return cbor.Marshal(syncWire{Echo: s.Echo(), Hashes: hashes, Claims: claims})
+	return cbor.Marshal(syncWire{Mode: uint8(s.Mode()), Hashes: hashes, Claims: claims})
 }
 
 func decodeSyncReq(data []byte) (message.Peer, error) {
@@ -227,7 +224,8 @@
 	if err := cborMode.Unmarshal(data, &w); err != nil {
 		return nil, err
 	}
-	if len(w.Hashes) != message.SyncBuckets*bucketBytes {
+	mode := message.SyncMode(w.Mode)
+	if len(w.Hashes) != message.SyncBuckets*bucketBytes || mode < message.SyncCompare || mode > message.SyncEcho {
 		return nil, errField
 	}
 	var hashes [message.SyncBuckets]uint32
@@ -235,5 +233,5 @@
 		hashes[i] = binary.BigEndian.Uint32(w.Hashes[i*bucketBytes:])
 	}
 	claims, err := fromClaims(w.Claims)
-	return message.NewSyncReq(w.Echo, hashes, claims), err
+	return message.NewSyncReq(mode, hashes, claims), err
 }
