--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -196,7 +196,7 @@
 
 func (w *network) append(n *node, m *Machine, a message.AppendLog) {
 	w.after(logDelay, func() {
-		var err error = errLogDown
+		err := errLogDown
 		if !w.logDown {
 			err = nil
 			w.appends++
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -47,8 +47,8 @@
 	pending  bool          // an append is running
 	mayAdd   bool          // the stream was old when last read; append if it is still so
 	token    uint64
-	hinted   int           // hint contacted last
-	hintAt   time.Time     // next contact with a hint
+	hinted   int       // hint contacted last
+	hintAt   time.Time // next contact with a hint
 }
 
 type rendezvousWire struct {
