message: entries, pushes, pulls and reports between nodes

Cause: the distribution needs typed messages. Pushes carry the span of the ring that the receiver has to serve, so that nodes with different views still cover a region. Statements carry ages instead of times, because clocks differ.

--- /dev/null
+++ b/message/distribution.go
@@ -0,0 +1,216 @@
+package message
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Statement is what a log reader knows of the configuration stream, and how old that knowledge is.
+// Ages instead of times travel, because the clocks of two nodes may differ.
+type Statement struct {
+	next  record.Offset
+	age   time.Duration
+	known bool
+	up    bool
+}
+
+// NewStatement returns the statement that the next append got the offset next as of age ago. up tells
+// whether the log could be read at the last attempt.
+func NewStatement(next record.Offset, age time.Duration, up bool) Statement {
+	return Statement{next: next, age: age, known: true, up: up}
+}
+
+// NewSilence returns the statement of a node that has never heard of the log's end. up tells whether
+// the log could be read at the last attempt.
+func NewSilence(up bool) Statement { return Statement{up: up} }
+
+// Next returns the offset of the next append, if Known.
+func (s Statement) Next() record.Offset { return s.next }
+
+// Age returns how long ago the log said so.
+func (s Statement) Age() time.Duration { return s.age }
+
+// Known tells whether Next and Age hold.
+func (s Statement) Known() bool { return s.known }
+
+// Up tells whether the log could be read at the last attempt.
+func (s Statement) Up() bool { return s.up }
+
+// Entries are entries of the configuration stream as the log holds them, with what it takes to check
+// that they continue what the receiver has folded.
+type Entries struct {
+	base      record.Offset
+	chain     uint64
+	items     []record.Entry
+	digest    Digest
+	statement Statement
+}
+
+// NewEntries returns entries that start at offset base, before which the sender's chain is chain. The
+// sender's own digest and statement go along. It keeps the slice.
+func NewEntries(base record.Offset, chain uint64, items []record.Entry, digest Digest, statement Statement) Entries {
+	return Entries{base: base, chain: chain, items: items, digest: digest, statement: statement}
+}
+
+// Base returns the offset of the first item, or the sender's head when there is none.
+func (e Entries) Base() record.Offset { return e.base }
+
+// Chain returns the hash over all entries before Base.
+func (e Entries) Chain() uint64 { return e.chain }
+
+// Items returns the entries in order of offset, without gaps. The caller must not change it.
+func (e Entries) Items() []record.Entry { return e.items }
+
+// Digest returns what the sender has folded.
+func (e Entries) Digest() Digest { return e.digest }
+
+// Statement returns what the sender knows of the log.
+func (e Entries) Statement() Statement { return e.statement }
+
+// Span is a closed interval of ring positions: the part of a region that a receiver has to serve.
+type Span struct {
+	low  uint64
+	high uint64
+}
+
+// NewSpan returns the interval from low to high, both included.
+func NewSpan(low, high uint64) Span { return Span{low: low, high: high} }
+
+// Low returns the first position.
+func (s Span) Low() uint64 { return s.low }
+
+// High returns the last position.
+func (s Span) High() uint64 { return s.high }
+
+// Contains tells whether a position lies within the span.
+func (s Span) Contains(position uint64) bool { return s.low <= position && position <= s.high }
+
+// Covers tells whether another span lies within this one.
+func (s Span) Covers(other Span) bool { return s.low <= other.low && other.high <= s.high }
+
+// Push carries entries, or without any a heartbeat, from a log reader down the tree of nodes. The
+// receiver answers with a Report and passes the push on to its region's members within the span.
+type Push struct {
+	origin  member.Key
+	seq     uint64
+	span    Span
+	entries Entries
+	census  []Census
+}
+
+// NewPush returns the push number seq of the log reader origin. census holds the fleet's census as the
+// origin knows it. Ages in census are relative to the origin's read. It keeps the slice.
+func NewPush(origin member.Key, seq uint64, span Span, entries Entries, census []Census) Push {
+	return Push{origin: origin, seq: seq, span: span, entries: entries, census: census}
+}
+
+// Peer implements Peer.
+func (Push) Peer() {}
+
+// Origin returns the log reader.
+func (p Push) Origin() member.Key { return p.origin }
+
+// Seq returns the number of the push, rising per origin.
+func (p Push) Seq() uint64 { return p.seq }
+
+// Span returns the part of the receiver's region that the receiver has to serve.
+func (p Push) Span() Span { return p.span }
+
+// Entries returns the entries.
+func (p Push) Entries() Entries { return p.entries }
+
+// Census returns the census per region. The caller must not change it.
+func (p Push) Census() []Census { return p.census }
+
+// Report acknowledges a Push and counts the versions held in the part of the tree below the sender.
+type Report struct {
+	origin member.Key
+	seq    uint64
+	digest Digest
+	census Census
+}
+
+// NewReport returns the answer to the push number seq of origin.
+func NewReport(origin member.Key, seq uint64, digest Digest, census Census) Report {
+	return Report{origin: origin, seq: seq, digest: digest, census: census}
+}
+
+// Peer implements Peer.
+func (Report) Peer() {}
+
+// Origin returns the log reader whose push is answered.
+func (r Report) Origin() member.Key { return r.origin }
+
+// Seq returns the number of the push.
+func (r Report) Seq() uint64 { return r.seq }
+
+// Digest returns what the sender has folded.
+func (r Report) Digest() Digest { return r.digest }
+
+// Census returns the versions held by the sender and the nodes below it.
+func (r Report) Census() Census { return r.census }
+
+// Pull asks for what the sender lacks and for a statement about the log. It is answered by an Answer.
+type Pull struct {
+	nonce  uint64
+	digest Digest
+}
+
+// NewPull returns the request of a node that has folded up to digest. The answer repeats nonce.
+func NewPull(nonce uint64, digest Digest) Pull { return Pull{nonce: nonce, digest: digest} }
+
+// Peer implements Peer.
+func (Pull) Peer() {}
+
+// Nonce returns the number that the answer repeats.
+func (p Pull) Nonce() uint64 { return p.nonce }
+
+// Digest returns what the sender has folded.
+func (p Pull) Digest() Digest { return p.digest }
+
+// Answer answers a Pull with entries, with the whole state, or with neither.
+type Answer struct {
+	nonce   uint64
+	serving bool
+	busy    bool
+	entries Entries
+	state   []byte
+}
+
+// NewAnswer returns the answer with entries, which may be none. serving tells whether the sender serves
+// callers, which makes what it holds an offer to nodes that join while the log is down.
+func NewAnswer(nonce uint64, serving bool, entries Entries) Answer {
+	return Answer{nonce: nonce, serving: serving, entries: entries}
+}
+
+// WithState returns a copy that carries the whole state, a catalog checkpoint. It keeps data.
+func (a Answer) WithState(data []byte) Answer {
+	a.state = data
+	return a
+}
+
+// WithBusy returns a copy that says that the sender holds more but has spent its rate of whole states.
+func (a Answer) WithBusy() Answer {
+	a.busy = true
+	return a
+}
+
+// Peer implements Peer.
+func (Answer) Peer() {}
+
+// Nonce returns the number of the Pull.
+func (a Answer) Nonce() uint64 { return a.nonce }
+
+// Serving tells whether the sender serves callers.
+func (a Answer) Serving() bool { return a.serving }
+
+// Busy tells whether to ask again later.
+func (a Answer) Busy() bool { return a.busy }
+
+// Entries returns the entries, and the sender's digest and statement.
+func (a Answer) Entries() Entries { return a.entries }
+
+// State returns the whole state, or nil. The caller must not change it.
+func (a Answer) State() []byte { return a.state }
