relay, wire: tree of pushes, pulls, log reader, joining

Cause: entries of the log have to reach every node within a second with one reader and one crossing. Ruled out: positions in a ranked list as tree, for one node more or less shifts all others while views differ; spans of a hash ring are delegated instead, so that every member some delegate knows is reached.

--- a/message/operator.go
+++ b/message/operator.go
@@ -131,6 +131,9 @@
 	members   []member.Member
 	census    []Census
 	needLevel record.Schema
+
+	unconfirmed bool
+	unequal     int
 }
 
 // StatusFields are the parts of a Status, for NewStatus.
@@ -145,6 +148,9 @@
 	Members   []member.Member // members known, dead ones included
 	Census    []Census        // versions held, per region
 	NeedLevel record.Schema   // schema that this binary lacks to go on folding, zero if none
+
+	Unconfirmed bool // the node serves what its peers offered, without having heard where the log ends
+	Unequal     int  // contents refused because they contradict what the node has folded
 }
 
 // NewStatus returns a status of those parts. It keeps the slices.
@@ -152,6 +158,7 @@
 	return Status{
 		stage: f.Stage, self: f.Self, digest: f.Digest, level: f.Level, logFault: f.LogFault, logSeen: f.LogSeen,
 		roles: f.Roles, members: f.Members, census: f.Census, needLevel: f.NeedLevel,
+		unconfirmed: f.Unconfirmed, unequal: f.Unequal,
 	}
 }
 
@@ -184,3 +191,10 @@
 
 // NeedLevel returns the schema that this binary lacks, or zero.
 func (s Status) NeedLevel() record.Schema { return s.needLevel }
+
+// Unconfirmed tells whether the node serves what its peers offered, without having heard where the log
+// ends.
+func (s Status) Unconfirmed() bool { return s.unconfirmed }
+
+// Unequal returns how many contents the node refused because they contradict what it has folded.
+func (s Status) Unequal() int { return s.unequal }
--- /dev/null
+++ b/relay/census.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Bounds of a census.
+const (
+	censusVersions = 6 // counts; the last one holds the rest
+	censusLaggards = 4
+	reportDelay    = 200 * time.Millisecond
+)
+
+// subtree returns the versions held by this node and those that reported to it.
+func (m *Machine) subtree(now time.Time) message.Census {
+	own := m.holding.digest()
+	counts := []message.VersionCount{message.NewVersionCount(own.Version(), 1)}
+	laggards := []message.Laggard{message.NewLaggard(m.self.Key(), own.Version())}
+	for _, peer := range m.tree.children {
+		if c, ok := m.tree.reports[peer]; ok {
+			counts = append(counts, c.Counts()...)
+			laggards = append(laggards, c.Laggards()...)
+		}
+	}
+	counts = mergeCounts(counts)
+	return message.NewCensus(m.self.Place().Region(), counts, worst(laggards, counts[0].Version()), now)
+}
+
+// mergeCounts adds up equal versions, newest first. Beyond the bound the oldest versions are counted as
+// the oldest listed.
+func mergeCounts(counts []message.VersionCount) []message.VersionCount {
+	slices.SortStableFunc(counts, func(a, b message.VersionCount) int { return cmp.Compare(b.Version(), a.Version()) })
+	var merged []message.VersionCount
+	for _, c := range counts {
+		last := len(merged) - 1
+		if last >= 0 && (merged[last].Version() == c.Version() || len(merged) == censusVersions) {
+			merged[last] = message.NewVersionCount(merged[last].Version(), merged[last].Nodes()+c.Nodes())
+			continue
+		}
+		merged = append(merged, c)
+	}
+	return merged
+}
+
+// worst returns the nodes furthest behind newest.
+func worst(laggards []message.Laggard, newest record.Version) []message.Laggard {
+	behind := slices.DeleteFunc(laggards, func(l message.Laggard) bool { return l.Version() >= newest })
+	slices.SortFunc(behind, func(a, b message.Laggard) int {
+		if a.Version() != b.Version() {
+			return cmp.Compare(a.Version(), b.Version())
+		}
+		return a.Node().Peer().Compare(b.Node().Peer())
+	})
+	return behind[:min(len(behind), censusLaggards)]
+}
+
+// report answers a push.
+func (m *Machine) report(now time.Time, to netip.AddrPort, push message.Push) {
+	m.tree.own = m.holding.digest()
+	m.send(to, message.NewReport(push.Origin(), push.Seq(), m.tree.own, m.subtree(now)))
+}
+
+func (m *Machine) receiveReport(now time.Time, from member.Key, r message.Report) {
+	t := &m.tree
+	t.deliveries = slices.DeleteFunc(t.deliveries, func(d delivery) bool {
+		return d.push.Origin() == r.Origin() && d.push.Seq() <= r.Seq() && d.candidates[d.tried-1] == from.Peer()
+	})
+	m.observe(now, from.Peer(), r.Digest())
+	if r.Origin() == m.self.Key() && r.Census().Region() != m.self.Place().Region() {
+		t.setRegion(r.Census())
+		return
+	}
+	if !slices.Contains(t.children, from.Peer()) || equalCensus(t.reports[from.Peer()], r.Census()) {
+		return
+	}
+	t.reports[from.Peer()] = r.Census()
+	m.reportSoon(now)
+}
+
+// reportSoon notes that the counts may have changed.
+func (m *Machine) reportSoon(now time.Time) {
+	if m.tree.dirty.IsZero() {
+		m.tree.dirty = now
+	}
+}
+
+// reportLater tells the parent of changed counts, those of one delay together.
+func (m *Machine) reportLater(now time.Time) {
+	t := &m.tree
+	if t.dirty.IsZero() || now.Sub(t.dirty) < reportDelay {
+		return
+	}
+	t.dirty = time.Time{}
+	if !t.parent.IsValid() {
+		m.refreshRoot(now)
+		return
+	}
+	m.send(t.parent, message.NewReport(t.origin, t.seq, m.holding.digest(), m.subtree(now)))
+}
+
+// refreshRoot enters the counts of the own region, which only the root knows.
+func (m *Machine) refreshRoot(now time.Time) {
+	m.tree.setRegion(m.subtree(now))
+}
+
+func (t *tree) setRegion(c message.Census) {
+	i, found := slices.BinarySearchFunc(t.regions, c.Region(), func(have message.Census, want member.Region) int {
+		return cmp.Compare(have.Region(), want)
+	})
+	regions := slices.Clone(t.regions)
+	if found {
+		regions[i] = c
+	} else {
+		regions = slices.Insert(regions, i, c)
+	}
+	t.regions = regions
+}
+
+// learnRegions takes the census that the root of the tree sends along. The time is that of arrival.
+func (t *tree) learnRegions(now time.Time, _ member.Region, census []message.Census) {
+	for _, c := range census {
+		t.setRegion(message.NewCensus(c.Region(), c.Counts(), c.Laggards(), now))
+	}
+}
+
+func (t *tree) censuses() []message.Census { return slices.Clone(t.regions) }
+
+func equalCensus(a, b message.Census) bool {
+	return a.Region() == b.Region() && slices.Equal(a.Counts(), b.Counts()) && slices.Equal(a.Laggards(), b.Laggards())
+}
--- /dev/null
+++ b/relay/checkpoint.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// writer writes the state into the log as checkpoint entries, one append at a time.
+type writer struct {
+	token   uint64
+	waiting bool
+	chunks  [][]byte
+
+	items     int           // change sets folded since the newest checkpoint
+	at        time.Time     // when a checkpoint was seen or tried last
+	notBefore time.Time     // pause after a failure
+	newest    record.Offset // offset of the newest checkpoint part seen
+	first     record.Offset // oldest offset that the log keeps
+}
+
+// tokenBase sets the tokens of checkpoints apart from those of publishes.
+const tokenBase = uint64(1) << 63
+
+// seen notes what one folded entry means for the next checkpoint.
+func (w *writer) seen(now time.Time, offset record.Offset, kind catalog.ResultKind) {
+	if kind == catalog.ResultCheckpoint {
+		w.items, w.at, w.newest = 0, now, offset
+		return
+	}
+	w.items++
+}
+
+// checkpoint starts to write a checkpoint when enough has changed since the newest one, or when that
+// is old and anything has changed. Only the first-ranked reader writes; two writers are harmless.
+func (m *Machine) checkpoint(now time.Time) {
+	w := &m.writer
+	if w.waiting || !m.log.active || !m.join.done || m.log.fault != nil || now.Before(w.notBefore) {
+		return
+	}
+	if len(w.chunks) == 0 && !m.wantsCheckpoint(now) {
+		return
+	}
+	if len(w.chunks) == 0 {
+		chunks, err := m.holding.state.CheckpointEntries(uint64(m.self.Key().Incarnation()))
+		if err != nil {
+			m.counts.Malformed++
+			w.notBefore = now.Add(m.settings.CheckpointRetry)
+			return
+		}
+		w.chunks = chunks
+	}
+	w.token++
+	w.waiting = true
+	m.out = append(m.out, message.NewAppendLog(message.StreamConfig, tokenBase|w.token, w.chunks[0]))
+}
+
+func (m *Machine) wantsCheckpoint(now time.Time) bool {
+	w := &m.writer
+	if w.items >= m.settings.CheckpointItems {
+		return true
+	}
+	if w.first > w.newest && m.holding.state.Head() > 0 {
+		return true // the log may hold no checkpoint that it can be read from
+	}
+	return w.items > 0 && now.Sub(w.at) >= m.settings.CheckpointAge
+}
+
+func (w *writer) noteFirst(first record.Offset) { w.first = first }
+
+// OwnsAppend tells whether the answer to an append belongs to this machine.
+func OwnsAppend(a message.LogAppended) bool {
+	return a.Stream() == message.StreamConfig && a.Token()&tokenBase != 0
+}
+
+// LogAppended takes the answer to the append of a part of a checkpoint. A part that is in doubt makes
+// the whole checkpoint worthless, so it is begun anew later.
+func (m *Machine) LogAppended(now time.Time, a message.LogAppended) []message.Action {
+	w := &m.writer
+	if !OwnsAppend(a) || !w.waiting || a.Token() != tokenBase|w.token {
+		return nil
+	}
+	w.waiting = false
+	if a.Err() != nil {
+		w.chunks = nil
+		w.notBefore = now.Add(m.settings.CheckpointRetry)
+		return nil
+	}
+	w.chunks = w.chunks[1:]
+	if len(w.chunks) == 0 {
+		m.counts.Checkpoints++
+		w.items, w.at, w.newest = 0, now, a.Offset()
+	}
+	return nil
+}
--- /dev/null
+++ b/relay/knowledge.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// pauseLimit is the time between two events beyond which the process was not running. What it receives
+// right after may have waited in a buffer, so ages in it are not to be believed.
+const (
+	pauseLimit = time.Second
+	pauseGuard = 500 * time.Millisecond
+)
+
+// knowledge is what a node has heard about the log and its readers.
+type knowledge struct {
+	heardAt  time.Time // last heartbeat, or the start
+	lastAt   time.Time // last event of any kind
+	guardEnd time.Time // statements in messages count for nothing until then
+
+	next   record.Offset // offset of the log's next append as of readAt
+	readAt time.Time     // zero if unknown
+	upAt   time.Time     // when the log was last known to be readable, zero if never
+}
+
+// notice finds out whether the process was paused.
+func (k *knowledge) notice(now time.Time) {
+	if !k.lastAt.IsZero() && now.Sub(k.lastAt) > pauseLimit {
+		k.guardEnd = now.Add(pauseGuard)
+	}
+	k.lastAt = now
+}
+
+func (k *knowledge) guarded(now time.Time) bool { return now.Before(k.guardEnd) }
+
+// learn takes a statement that was made no later than sent.
+func (k *knowledge) learn(now, sent time.Time, s message.Statement) {
+	if k.guarded(now) || !s.Known() {
+		return
+	}
+	readAt := sent.Add(-s.Age())
+	if readAt.After(k.readAt) {
+		k.next, k.readAt = max(k.next, s.Next()), readAt
+	}
+	if s.Up() && readAt.After(k.upAt) {
+		k.upAt = readAt
+	}
+}
+
+// statement returns what the node can tell others.
+func (k *knowledge) statement(now time.Time, limit time.Duration) message.Statement {
+	up := !k.upAt.IsZero() && now.Sub(k.upAt) <= limit
+	if k.readAt.IsZero() {
+		return message.NewSilence(up)
+	}
+	return message.NewStatement(k.next, max(now.Sub(k.readAt), 0), up)
+}
+
+// logDown tells whether nobody has said lately that the log can be read.
+func (m *Machine) logDown(now time.Time) bool {
+	since := m.known.upAt
+	if since.IsZero() {
+		since = m.started
+	}
+	return now.Sub(since) > m.settings.StatementAge
+}
+
+func (m *Machine) statement(now time.Time) message.Statement {
+	return m.known.statement(now, m.settings.StatementAge)
+}
+
+// sayUnequal counts contents that contradict what this node has folded. They are never applied.
+func (m *Machine) sayUnequal() { m.counts.Unequal++ }
--- /dev/null
+++ b/relay/pull.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+)
+
+// puller is the state of a node that asks others for what it lacks. One pull is under way at a time.
+type puller struct {
+	waiting   bool
+	nonce     uint64
+	to        netip.AddrPort
+	sent      time.Time
+	notBefore time.Time
+	tries     int
+	ahead     netip.AddrPort // a peer known to hold more, or zero
+	aheadAt   time.Time      // since when
+	avoid     netip.AddrPort // the peer that did not answer, or was busy, last
+}
+
+// see notes that a peer is ahead.
+func (p *puller) see(now time.Time, peer netip.AddrPort, _ message.Digest) {
+	if !p.ahead.IsValid() {
+		p.aheadAt = now
+	}
+	p.ahead = peer
+}
+
+func (p *puller) caughtUp() { p.ahead = netip.AddrPort{} }
+
+// pull asks a peer when this node is behind, is joining, or hears no log reader.
+func (m *Machine) pull(now time.Time) {
+	p := &m.puller
+	if p.waiting && now.Sub(p.sent) > m.settings.PullTimeout {
+		p.waiting = false
+		p.avoid = p.to
+		p.notBefore = now.Add(m.jitter(m.settings.PullPeriod / 4))
+	}
+	if p.waiting || now.Before(p.notBefore) || !m.wantsPull(now) {
+		return
+	}
+	to := m.pullFrom()
+	if !to.IsValid() {
+		return
+	}
+	m.askPeer(now, to)
+}
+
+func (m *Machine) askPeer(now time.Time, to netip.AddrPort) {
+	p := &m.puller
+	p.waiting, p.to, p.sent = true, to, now
+	p.nonce = m.rnd.Uint64()
+	p.tries++
+	p.notBefore = now.Add(m.settings.PullPeriod/2 + m.jitter(m.settings.PullPeriod))
+	m.send(to, message.NewPull(p.nonce, m.holding.digest()))
+}
+
+func (m *Machine) wantsPull(now time.Time) bool {
+	if !m.join.done {
+		return true
+	}
+	if m.puller.ahead.IsValid() && !m.blocked() && now.Sub(m.puller.aheadAt) >= m.settings.PullGrace {
+		return true
+	}
+	return m.join.unconfirmed || !m.log.active && now.Sub(m.known.heardAt) > m.settings.Silence-m.settings.PullPeriod
+}
+
+// pullFrom chooses whom to ask: the peer known to be ahead, and otherwise a member of the own region
+// by chance, now and then of any region. A node that joins spreads its pulls, for it needs several
+// peers' offers while the log is down.
+func (m *Machine) pullFrom() netip.AddrPort {
+	p := &m.puller
+	if p.ahead.IsValid() && p.ahead != p.avoid {
+		return p.ahead
+	}
+	if len(m.plan.ring) > 0 && m.rnd.IntN(4) > 0 {
+		return m.plan.ring[m.rnd.IntN(len(m.plan.ring))].peer
+	}
+	members := m.plan.view.Members()
+	if len(members) == 0 {
+		return netip.AddrPort{}
+	}
+	peer := members[m.rnd.IntN(len(members))].Key().Peer()
+	if peer == m.self.Key().Peer() {
+		return netip.AddrPort{}
+	}
+	return peer
+}
+
+// pullsFirst tells whether a node that holds nothing should still ask its peers before it reads the
+// log: the entries that it lacks are cheaper there.
+func (m *Machine) pullsFirst(now time.Time) bool {
+	if m.join.done || m.holding.state.Head() > 0 || len(m.plan.view.Members()) < 2 {
+		return false
+	}
+	return m.puller.tries < pullTries && now.Sub(m.started) < m.settings.Silence
+}
+
+// pullTries is the number of peers that a joining node asks before it reads the log by itself.
+const pullTries = 3
+
+func (m *Machine) receiveAnswer(now time.Time, from member.Key, a message.Answer) {
+	p := &m.puller
+	if !p.waiting || a.Nonce() != p.nonce || from.Peer() != p.to {
+		return
+	}
+	p.waiting = false
+	p.caughtUp()
+	entries := a.Entries()
+	m.hearAnswer(now, from, a)
+	if a.State() != nil {
+		m.takeWhole(a.State())
+	}
+	advanced := m.take(now, from.Peer(), entries) || a.State() != nil
+	m.reportSoon(now)
+	if a.Busy() {
+		p.avoid = from.Peer()
+		p.notBefore = now.Add(m.jitter(m.settings.PullPeriod))
+		return
+	}
+	if advanced && p.ahead.IsValid() && !m.blocked() {
+		m.askPeer(now, p.ahead)
+	}
+}
+
+// hearAnswer takes what an answer says about the log. Its statement is no older than the pull plus the
+// age stated, however long the answer waited on its way.
+func (m *Machine) hearAnswer(now time.Time, from member.Key, a message.Answer) {
+	s := a.Entries().Statement()
+	sent := m.puller.sent
+	m.known.learn(now, sent, s)
+	if s.Known() {
+		m.join.confirm(sent.Add(-s.Age()), s.Next())
+	}
+	if s.Up() && now.Sub(sent)+s.Age() < m.settings.StatementAge && m.calms(from.Peer()) {
+		m.known.heardAt = laterOf(m.known.heardAt, sent.Add(-s.Age()))
+	}
+	if a.Serving() {
+		m.join.offer(from.Peer(), offer{digest: a.Entries().Digest(), at: now})
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// takeWhole takes over a whole state that is ahead of what this node holds.
+func (m *Machine) takeWhole(data []byte) {
+	taken, err := m.holding.restore(data)
+	if err != nil {
+		m.counts.Malformed++
+	}
+	if taken {
+		m.counts.Refolded++
+	}
+}
+
+// stateServer bounds the whole states sent.
+type stateServer struct {
+	tokens float64
+	at     time.Time
+}
+
+func newStateServer(settings Settings) stateServer {
+	return stateServer{tokens: settings.StateBurst}
+}
+
+// allow spends the right to send one whole state.
+func (s *stateServer) allow(now time.Time, settings Settings) bool {
+	if !s.at.IsZero() {
+		s.tokens = min(settings.StateBurst, s.tokens+now.Sub(s.at).Seconds()*settings.StateRate)
+	}
+	s.at = now
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+func (m *Machine) receivePull(now time.Time, from member.Key, p message.Pull) {
+	m.observe(now, from.Peer(), p.Digest())
+	m.send(from.Peer(), m.answer(now, p))
+}
+
+func (m *Machine) answer(now time.Time, p message.Pull) message.Answer {
+	own := m.holding.digest()
+	head := p.Digest().Head()
+	chain, known := m.holding.chainAt(head)
+	nothing := message.NewEntries(own.Head(), own.Chain(), nil, own, m.statement(now))
+	empty := message.NewAnswer(p.Nonce(), m.join.done, nothing)
+	if head >= own.Head() || known && chain != p.Digest().Chain() {
+		return empty
+	}
+	if known {
+		items := m.holding.since(head, m.settings.AnswerBytes)
+		return message.NewAnswer(p.Nonce(), m.join.done, message.NewEntries(head, chain, items, own, m.statement(now)))
+	}
+	if !m.server.allow(now, m.settings) {
+		m.counts.Busy++
+		return empty.WithBusy()
+	}
+	data, err := m.holding.whole()
+	if err != nil {
+		m.counts.Malformed++
+		return empty
+	}
+	return empty.WithState(data)
+}
--- /dev/null
+++ b/relay/read.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// logReader is the state of a node as reader of the log.
+type logReader struct {
+	active    bool          // the node reads for its region
+	asked     time.Time     // when the read under way was ordered
+	waiting   bool          // a read is under way
+	notBefore time.Time     // no read is ordered before
+	lone      time.Duration // silence after which this node reads whatever its rank
+	failures  int
+	fault     error           // why the last read failed, or nil
+	gap       bool            // the log has trimmed entries that this node lacks
+	loader    *catalog.Loader // loads from the trimmed stream, or nil
+}
+
+// place returns the node's place in the order of log readers: the region of the log first, then the
+// other regions one place later. It is -1 for nodes that cannot fold the fleet's level.
+func (m *Machine) place() int {
+	rank := m.plan.rankOf(m.self.Place().Region(), m.self.Key().Peer())
+	if rank < 0 || m.blocked() || m.retired {
+		return -1
+	}
+	if m.home() {
+		return rank
+	}
+	return rank + 1
+}
+
+var errLogShort = errors.New("the log ends before what this node has read from it")
+
+// standbyPlaces is the number of places that take over in turn, not by chance.
+const standbyPlaces = 4
+
+// decideReading finds out whether the node should read the log.
+func (m *Machine) decideReading(now time.Time) {
+	m.log.active = m.shouldRead(now)
+}
+
+func (m *Machine) shouldRead(now time.Time) bool {
+	place := m.place()
+	if place < 0 || now.Before(m.log.notBefore) || m.pullsFirst(now) {
+		return false
+	}
+	if place == 0 {
+		return true
+	}
+	quiet := now.Sub(m.known.heardAt)
+	if m.log.active {
+		return quiet > m.settings.Silence
+	}
+	if place < standbyPlaces {
+		return quiet > m.settings.Silence+time.Duration(place-1)*m.settings.SilenceStep
+	}
+	return quiet > m.log.lone
+}
+
+// calms tells whether a push of origin means that this node need not read the log. An active reader
+// gives way only to one that comes before it.
+func (m *Machine) calms(origin netip.AddrPort) bool {
+	if !m.log.active {
+		return true
+	}
+	if !m.home() && m.plan.rankOf(m.logRegion, origin) >= 0 {
+		return true
+	}
+	rank := m.plan.rankOf(m.self.Place().Region(), origin)
+	return rank >= 0 && rank < m.plan.rankOf(m.self.Place().Region(), m.self.Key().Peer())
+}
+
+// probes tells whether a node that is no reader should try the log because the readers say they
+// cannot read it: the standby, and the first of each other region.
+func (m *Machine) probes(now time.Time) bool {
+	return !m.log.active && m.join.done && m.place() == 1 && m.logDown(now)
+}
+
+// readLog orders the next read.
+func (m *Machine) readLog(now time.Time) {
+	if m.log.waiting || now.Before(m.log.notBefore) {
+		return
+	}
+	if !m.log.active && !m.probes(now) {
+		return
+	}
+	m.log.waiting = true
+	m.log.asked = now
+	m.out = append(m.out, message.NewReadLog(message.StreamConfig, m.readFrom(), m.settings.ReadWait))
+}
+
+// LogPage takes the answer to a read of the configuration stream.
+func (m *Machine) LogPage(now time.Time, view *member.View, page message.LogPage) []message.Action {
+	m.enter(now, view)
+	m.log.waiting = false
+	if page.First() > m.readFrom() {
+		m.trimmed(now, page)
+	} else if err := page.Err(); err != nil {
+		m.readFailed(now, err)
+	} else {
+		m.readDone(now, page)
+	}
+	m.decideJoin(now)
+	return m.leave()
+}
+
+func (m *Machine) readFailed(now time.Time, err error) {
+	m.log.failures++
+	m.log.fault = err
+	wait := m.settings.ReadRetry >> max(0, 3-m.log.failures)
+	m.log.notBefore = now.Add(wait/2 + m.jitter(wait/2))
+}
+
+func (m *Machine) readDone(now time.Time, page message.LogPage) {
+	if page.Next() < m.holding.state.Head() {
+		m.readFailed(now, errLogShort)
+		return
+	}
+	m.log.failures, m.log.fault = 0, nil
+	digest := m.holding.digest()
+	m.writer.noteFirst(page.First())
+	if m.load(now, page) {
+		m.fold(now, page.Entries())
+	}
+	s := message.NewStatement(page.Next(), 0, true)
+	m.known.learn(now, m.log.asked, s)
+	m.join.confirm(m.log.asked, page.Next())
+	m.announce(now, digest, page.Entries())
+	if m.log.active && (len(page.Entries()) > 0 || now.Sub(m.log.asked) > m.settings.ReadWait/2) {
+		m.readLog(now)
+	}
+}
+
+// announce pushes what was read to the fleet. A node that is still joining reads for itself: what it
+// reads is old to the others.
+func (m *Machine) announce(now time.Time, before message.Digest, entries []record.Entry) {
+	if len(entries) == 0 || !m.join.done || entries[0].Offset() != before.Head() {
+		return
+	}
+	if len(entries) > m.settings.WindowEntries {
+		entries = nil // a backlog that the others had better pull
+		before = m.holding.digest()
+	}
+	m.originate(now, message.NewEntries(before.Head(), before.Chain(), entries, m.holding.digest(), m.statement(now)))
+}
+
+// beat pushes a heartbeat when the reader has pushed nothing for a period.
+func (m *Machine) beat(now time.Time) {
+	if !m.log.active || now.Sub(m.tree.pushedAt) < m.settings.Beat {
+		return
+	}
+	d := m.holding.digest()
+	m.originate(now, message.NewEntries(d.Head(), d.Chain(), nil, d, m.statement(now)))
+}
--- /dev/null
+++ b/wire/distribution.go
@@ -0,0 +1,318 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Codes of the distribution messages.
+const (
+	codePush   Code = 16
+	codeReport Code = 17
+	codePull   Code = 18
+	codeAnswer Code = 19
+)
+
+// Bounds of the distribution messages.
+const (
+	ageUnit       = time.Millisecond
+	maxAgeUnits   = 1 << 40
+	maxItems      = 1024
+	maxCensuses   = 16
+	maxCensusRows = 64
+	maxReport     = 4 << 10 // bytes
+)
+
+func distributionCodecs() []codec {
+	return []codec{
+		{code: codePush, sample: message.Push{}, limit: MaxFrame, encode: encodePush, decode: decodePush},
+		{code: codeReport, sample: message.Report{}, limit: maxReport, encode: encodeReport, decode: decodeReport},
+		{code: codePull, sample: message.Pull{}, limit: MaxDatagram, encode: encodePull, decode: decodePull},
+		{code: codeAnswer, sample: message.Answer{}, limit: MaxFrame, encode: encodeAnswer, decode: decodeAnswer},
+	}
+}
+
+type digestWire struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Head    uint64
+	Chain   uint64
+}
+
+type keyWire struct {
+	_           struct{} `cbor:",toarray"`
+	Peer        []byte
+	Incarnation uint64
+}
+
+// entriesWire leaves Base and Chain out when there is no item: they are those of the digest then.
+type entriesWire struct {
+	Digest digestWire `cbor:"1,keyasint"`
+	Base   uint64     `cbor:"2,keyasint,omitempty"`
+	Chain  uint64     `cbor:"3,keyasint,omitempty"`
+	Items  [][]byte   `cbor:"4,keyasint,omitempty"`
+	Next   uint64     `cbor:"5,keyasint,omitempty"`
+	Age    uint64     `cbor:"6,keyasint,omitempty"`
+	Flags  uint8      `cbor:"7,keyasint,omitempty"`
+}
+
+// Flags of a statement.
+const (
+	flagKnown uint8 = 1 << iota
+	flagUp
+)
+
+type countRow struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Nodes   uint32
+}
+
+type laggardRow struct {
+	_       struct{} `cbor:",toarray"`
+	Node    keyWire
+	Version uint64
+}
+
+type censusWire struct {
+	_        struct{} `cbor:",toarray"`
+	Region   string
+	Counts   []countRow
+	Laggards []laggardRow
+}
+
+// pushWire leaves Low and High out for the whole ring.
+type pushWire struct {
+	Origin  keyWire      `cbor:"1,keyasint"`
+	Seq     uint64       `cbor:"2,keyasint"`
+	Low     uint64       `cbor:"3,keyasint,omitempty"`
+	Rest    uint64       `cbor:"4,keyasint,omitempty"` // distance of the span's end from the ring's end
+	Entries entriesWire  `cbor:"5,keyasint"`
+	Census  []censusWire `cbor:"6,keyasint,omitempty"`
+}
+
+type reportWire struct {
+	_      struct{} `cbor:",toarray"`
+	Origin keyWire
+	Seq    uint64
+	Digest digestWire
+	Census censusWire
+}
+
+type pullWire struct {
+	_      struct{} `cbor:",toarray"`
+	Nonce  uint64
+	Digest digestWire
+}
+
+type answerWire struct {
+	Nonce   uint64      `cbor:"1,keyasint"`
+	Serving bool        `cbor:"2,keyasint,omitempty"`
+	Busy    bool        `cbor:"3,keyasint,omitempty"`
+	Entries entriesWire `cbor:"4,keyasint"`
+	State   []byte      `cbor:"5,keyasint,omitempty"`
+}
+
+func toDigest(d message.Digest) digestWire {
+	return digestWire{Version: uint64(d.Version()), Head: uint64(d.Head()), Chain: d.Chain()}
+}
+
+func (w digestWire) digest() message.Digest {
+	return message.NewDigest(record.Version(w.Version), record.Offset(w.Head), w.Chain)
+}
+
+func toKey(k member.Key) (keyWire, error) {
+	peer, err := k.Peer().MarshalBinary()
+	return keyWire{Peer: peer, Incarnation: uint64(k.Incarnation())}, err
+}
+
+func (w keyWire) key() (member.Key, error) {
+	peer, err := parsePeer(w.Peer)
+	return member.NewKey(peer, member.Incarnation(w.Incarnation)), err
+}
+
+func toEntries(e message.Entries) entriesWire {
+	w := entriesWire{Digest: toDigest(e.Digest())}
+	s := e.Statement()
+	if s.Known() {
+		w.Flags |= flagKnown
+		w.Next = uint64(s.Next())
+		w.Age = uint64(min(max(s.Age()+ageUnit-1, 0)/ageUnit, maxAgeUnits))
+	}
+	if s.Up() {
+		w.Flags |= flagUp
+	}
+	if len(e.Items()) == 0 {
+		return w
+	}
+	w.Base, w.Chain = uint64(e.Base()), e.Chain()
+	for _, item := range e.Items() {
+		w.Items = append(w.Items, item.Data())
+	}
+	return w
+}
+
+func (w entriesWire) entries() (message.Entries, error) {
+	if w.Age > maxAgeUnits || len(w.Items) > maxItems || w.Base > 1<<62 {
+		return message.Entries{}, errField
+	}
+	s := message.NewSilence(w.Flags&flagUp != 0)
+	if w.Flags&flagKnown != 0 {
+		s = message.NewStatement(record.Offset(w.Next), time.Duration(w.Age)*ageUnit, w.Flags&flagUp != 0)
+	}
+	if len(w.Items) == 0 {
+		return message.NewEntries(record.Offset(w.Digest.Head), w.Digest.Chain, nil, w.Digest.digest(), s), nil
+	}
+	items := make([]record.Entry, len(w.Items))
+	for i, data := range w.Items {
+		items[i] = record.NewEntry(record.Offset(w.Base)+record.Offset(i), data)
+	}
+	return message.NewEntries(record.Offset(w.Base), w.Chain, items, w.Digest.digest(), s), nil
+}
+
+func toCensus(c message.Census) (censusWire, error) {
+	w := censusWire{Region: string(c.Region())}
+	for _, n := range c.Counts() {
+		w.Counts = append(w.Counts, countRow{Version: uint64(n.Version()), Nodes: uint32(max(n.Nodes(), 0))})
+	}
+	for _, l := range c.Laggards() {
+		key, err := toKey(l.Node())
+		if err != nil {
+			return w, err
+		}
+		w.Laggards = append(w.Laggards, laggardRow{Node: key, Version: uint64(l.Version())})
+	}
+	return w, nil
+}
+
+func (w censusWire) census() (message.Census, error) {
+	if len(w.Region) > maxName || len(w.Counts) > maxCensusRows || len(w.Laggards) > maxCensusRows {
+		return message.Census{}, errField
+	}
+	var counts []message.VersionCount
+	for _, r := range w.Counts {
+		counts = append(counts, message.NewVersionCount(record.Version(r.Version), int(r.Nodes)))
+	}
+	var laggards []message.Laggard
+	for _, r := range w.Laggards {
+		key, err := r.Node.key()
+		if err != nil {
+			return message.Census{}, err
+		}
+		laggards = append(laggards, message.NewLaggard(key, record.Version(r.Version)))
+	}
+	return message.NewCensus(member.Region(w.Region), counts, laggards, time.Time{}), nil
+}
+
+func encodePush(body message.Peer) ([]byte, error) {
+	p := body.(message.Push)
+	origin, err := toKey(p.Origin())
+	if err != nil {
+		return nil, err
+	}
+	w := pushWire{Origin: origin, Seq: p.Seq(), Low: p.Span().Low(), Rest: ^p.Span().High(), Entries: toEntries(p.Entries())}
+	for _, c := range p.Census() {
+		row, err := toCensus(c)
+		if err != nil {
+			return nil, err
+		}
+		w.Census = append(w.Census, row)
+	}
+	return cbor.Marshal(w)
+}
+
+func decodePush(data []byte) (message.Peer, error) {
+	var w pushWire
+	if err := cborMode.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	if len(w.Census) > maxCensuses {
+		return nil, errField
+	}
+	origin, err := w.Origin.key()
+	if err != nil {
+		return nil, err
+	}
+	entries, err := w.Entries.entries()
+	if err != nil {
+		return nil, err
+	}
+	var censuses []message.Census
+	for _, row := range w.Census {
+		c, err := row.census()
+		if err != nil {
+			return nil, err
+		}
+		censuses = append(censuses, c)
+	}
+	return message.NewPush(origin, w.Seq, message.NewSpan(w.Low, ^w.Rest), entries, censuses), nil
+}
+
+func encodeReport(body message.Peer) ([]byte, error) {
+	r := body.(message.Report)
+	origin, err := toKey(r.Origin())
+	if err != nil {
+		return nil, err
+	}
+	census, err := toCensus(r.Census())
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(reportWire{Origin: origin, Seq: r.Seq(), Digest: toDigest(r.Digest()), Census: census})
+}
+
+func decodeReport(data []byte) (message.Peer, error) {
+	var w reportWire
+	if err := cborMode.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	origin, err := w.Origin.key()
+	if err != nil {
+		return nil, err
+	}
+	census, err := w.Census.census()
+	return message.NewReport(origin, w.Seq, w.Digest.digest(), census), err
+}
+
+func encodePull(body message.Peer) ([]byte, error) {
+	p := body.(message.Pull)
+	return cbor.Marshal(pullWire{Nonce: p.Nonce(), Digest: toDigest(p.Digest())})
+}
+
+func decodePull(data []byte) (message.Peer, error) {
+	var w pullWire
+	if err := cborMode.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	return message.NewPull(w.Nonce, w.Digest.digest()), nil
+}
+
+func encodeAnswer(body message.Peer) ([]byte, error) {
+	a := body.(message.Answer)
+	w := answerWire{Nonce: a.Nonce(), Serving: a.Serving(), Busy: a.Busy(), Entries: toEntries(a.Entries()), State: a.State()}
+	return cbor.Marshal(w)
+}
+
+func decodeAnswer(data []byte) (message.Peer, error) {
+	var w answerWire
+	if err := cborMode.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	entries, err := w.Entries.entries()
+	if err != nil {
+		return nil, err
+	}
+	a := message.NewAnswer(w.Nonce, w.Serving, entries)
+	if len(w.State) > 0 {
+		a = a.WithState(w.State)
+	}
+	if w.Busy {
+		a = a.WithBusy()
+	}
+	return a, nil
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -73,6 +73,7 @@
 // registry holds all message types. A new family adds its list here.
 var registry = newCodecs(
 	membershipCodecs(),
+	distributionCodecs(),
 )
 
 type codecs struct {
