--- a/relay/census.go
+++ b/relay/census.go
@@ -61,29 +61,63 @@
 	return behind[:min(len(behind), censusLaggards)]
 }
 
-// report answers a push.
+// report answers a push. Across regions the answer to entries leaves the census to that to the next
+// heartbeat, and an origin of zero means the receiver.
 func (m *Machine) report(now time.Time, to netip.AddrPort, push message.Push) {
-	m.tree.own = m.holding.digest()
-	m.send(to, message.NewReport(push.Origin(), push.Seq(), m.tree.own, m.subtree(now)))
+	digest, census, origin := m.holding.digest(), m.subtree(now), push.Origin()
+	if origin.Peer() == to {
+		origin = member.Key{}
+	}
+	if m.isFar(to) && len(push.Entries().Items()) > 0 {
+		census = message.Census{}
+	}
+	m.send(to, message.NewReport(origin, push.Seq(), digest, census))
+}
+
+func (m *Machine) isFar(peer netip.AddrPort) bool {
+	known, ok := m.plan.view.Member(peer)
+	return ok && known.Place().Region() != m.self.Place().Region()
 }
 
 func (m *Machine) receiveReport(now time.Time, from member.Key, r message.Report) {
 	t := &m.tree
-	t.deliveries = slices.DeleteFunc(t.deliveries, func(d delivery) bool {
-		return d.push.Origin() == r.Origin() && d.push.Seq() <= r.Seq() && d.candidates[d.tried-1] == from.Peer()
-	})
+	t.deliveries = slices.DeleteFunc(t.deliveries, func(d delivery) bool { return m.answers(from, r, d) })
 	m.observe(now, from.Peer(), r.Digest())
-	if r.Origin() == m.self.Key() && r.Census().Region() != m.self.Place().Region() {
-		t.setRegion(r.Census())
+	census := r.Census()
+	if len(census.Counts()) == 0 {
+		return
+	}
+	if census.Region() != m.self.Place().Region() {
+		t.setRegion(message.NewCensus(census.Region(), census.Counts(), census.Laggards(), now))
 		return
 	}
-	if !slices.Contains(t.children, from.Peer()) || equalCensus(t.reports[from.Peer()], r.Census()) {
+	if !slices.Contains(t.children, from.Peer()) || equalCensus(t.reports[from.Peer()], census) {
 		return
 	}
-	t.reports[from.Peer()] = r.Census()
+	t.reports[from.Peer()] = census
 	m.reportSoon(now)
 }
 
+// answers tells whether a report settles a delivery: it names that push, or a later one while the
+// receiver holds what the push carried.
+func (m *Machine) answers(from member.Key, r message.Report, d delivery) bool {
+	if d.candidates[d.tried-1] != from.Peer() || m.resolve(d.push.Origin()) != m.resolve(r.Origin()) {
+		return false
+	}
+	if d.push.Seq() == r.Seq() {
+		return true
+	}
+	return d.push.Seq() < r.Seq() && d.push.Entries().Digest().Head() <= r.Digest().Head()
+}
+
+// resolve returns the origin that is meant. Zero stands for this node.
+func (m *Machine) resolve(origin member.Key) member.Key {
+	if origin == (member.Key{}) {
+		return m.self.Key()
+	}
+	return origin
+}
+
 // reportSoon notes that the counts may have changed.
 func (m *Machine) reportSoon(now time.Time) {
 	if m.tree.dirty.IsZero() {
@@ -102,6 +136,9 @@
 		m.refreshRoot(now)
 		return
 	}
+	if m.isFar(t.parent) {
+		return
+	}
 	m.send(t.parent, message.NewReport(t.origin, t.seq, m.holding.digest(), m.subtree(now)))
 }
 
--- a/relay/push.go
+++ b/relay/push.go
@@ -23,7 +23,6 @@
 	reports    map[netip.AddrPort]message.Census
 	regions    []message.Census // per region, as the root says
 	dirty      time.Time        // when the counts changed since the last report, or zero
-	own        message.Digest   // as of the last report
 	handled    []handled
 	deliveries []delivery
 	pushed     uint64    // pushes originated
@@ -61,9 +60,20 @@
 	if !m.home() && len(entries.Items()) == 0 {
 		return
 	}
+	m.cross(now, push)
+}
+
+// cross sends a push to the first-ranked nodes of the other regions. Those bytes are billed, so entries
+// cross without the census, which the next heartbeat brings, and the origin is left to be the sender.
+func (m *Machine) cross(now time.Time, push message.Push) {
+	census := push.Census()
+	if len(push.Entries().Items()) > 0 {
+		census = nil
+	}
+	far := message.NewPush(member.Key{}, push.Seq(), wholeSpan, push.Entries(), census)
 	for _, region := range m.plan.regions {
 		if region != m.self.Place().Region() {
-			m.deliver(now, delivery{push: push, region: region, candidates: m.plan.ranked[region]})
+			m.deliver(now, delivery{push: far, region: region, candidates: m.plan.ranked[region]})
 		}
 	}
 }
@@ -128,7 +138,7 @@
 		return true
 	})
 	for _, d := range late {
-		overtaken := d.push.Origin() == m.tree.origin && d.push.Seq() < m.tree.seq
+		overtaken := m.resolve(d.push.Origin()) == m.tree.origin && d.push.Seq() < m.tree.seq
 		if overtaken && len(d.push.Entries().Items()) == 0 {
 			continue
 		}
@@ -152,6 +162,9 @@
 }
 
 func (m *Machine) receivePush(now time.Time, from member.Key, push message.Push) {
+	if push.Origin() == (member.Key{}) {
+		push = message.NewPush(from, push.Seq(), push.Span(), push.Entries(), push.Census())
+	}
 	fresh := m.handle(push)
 	if fresh {
 		m.hear(now, push)
--- a/wire/distribution.go
+++ b/wire/distribution.go
@@ -88,7 +88,7 @@
 
 // pushWire leaves Low and High out for the whole ring.
 type pushWire struct {
-	Origin  keyWire      `cbor:"1,keyasint"`
+	Origin  keyWire      `cbor:"1,keyasint,omitempty"`
 	Seq     uint64       `cbor:"2,keyasint"`
 	Low     uint64       `cbor:"3,keyasint,omitempty"`
 	Rest    uint64       `cbor:"4,keyasint,omitempty"` // distance of the span's end from the ring's end
@@ -136,6 +136,21 @@
 	return member.NewKey(peer, member.Incarnation(w.Incarnation)), err
 }
 
+// toOrigin maps the origin of a push, of which zero means the node at the other end.
+func toOrigin(k member.Key) (keyWire, error) {
+	if k == (member.Key{}) {
+		return keyWire{}, nil
+	}
+	return toKey(k)
+}
+
+func (w keyWire) origin() (member.Key, error) {
+	if len(w.Peer) == 0 && w.Incarnation == 0 {
+		return member.Key{}, nil
+	}
+	return w.key()
+}
+
 func toEntries(e message.Entries) entriesWire {
 	w := entriesWire{Digest: toDigest(e.Digest())}
 	s := e.Statement()
@@ -211,7 +226,7 @@
 
 func encodePush(body message.Peer) ([]byte, error) {
 	p := body.(message.Push)
-	origin, err := toKey(p.Origin())
+	origin, err := toOrigin(p.Origin())
 	if err != nil {
 		return nil, err
 	}
@@ -234,7 +249,7 @@
 	if len(w.Census) > maxCensuses {
 		return nil, errField
 	}
-	origin, err := w.Origin.key()
+	origin, err := w.Origin.origin()
 	if err != nil {
 		return nil, err
 	}
@@ -255,7 +270,7 @@
 
 func encodeReport(body message.Peer) ([]byte, error) {
 	r := body.(message.Report)
-	origin, err := toKey(r.Origin())
+	origin, err := toOrigin(r.Origin())
 	if err != nil {
 		return nil, err
 	}
@@ -271,7 +286,7 @@
 	if err := cborMode.Unmarshal(data, &w); err != nil {
 		return nil, err
 	}
-	origin, err := w.Origin.key()
+	origin, err := w.Origin.origin()
 	if err != nil {
 		return nil, err
 	}
