--- a/admission/gate.go
+++ b/admission/gate.go
@@ -9,7 +9,7 @@
 	"github.com/bambooknot/bambooknot/timer"
 )
 
-// ErrRefused: the call got no slot; it has not run.
+// ErrRefused is returned for a call that got no slot; it has not run.
 var ErrRefused = errors.New("no slot in time")
 
 // Gate is a Machine for concurrent use, at which calls wait.
--- a/call/attempt.go
+++ b/call/attempt.go
@@ -72,11 +72,14 @@
 
 // forward sends a call to its owner node once.
 func (i *Ingress) forward(ctx context.Context, q *request, owner member.Key) attempt {
-	var sent sendTrace
-	resp, err := i.settings.Forward.RoundTrip(i.forwardRequest(sent.context(ctx), q, owner.Peer()))
+	var sent SendTrace
+	resp, err := i.settings.Forward.RoundTrip(i.forwardRequest(sent.Context(ctx), q, owner.Peer()))
 	if err != nil {
-		return i.forwardFault(ctx, err, sent.connected.Load())
+		a := i.forwardFault(ctx, err, sent.Connected())
+		q.sent = q.sent || !a.clean
+		return a
 	}
+	q.sent = true
 	i.carried(owner, resp.Header)
 	if f, refused := readRefusal(resp); refused {
 		resp.Body.Close()
--- a/call/body.go
+++ b/call/body.go
@@ -90,9 +90,9 @@
 	return out.WithContext(ctx)
 }
 
-// once makes sure that net/http itself never sends a request twice: it repeats requests without a
-// body that carry an Idempotency-Key, or whose method is safe, when a kept connection breaks.
-func once(req *http.Request) *http.Request {
+// SendOnce returns req changed such that net/http itself never sends it twice: net/http repeats requests
+// without a body that carry an Idempotency-Key, or whose method is safe, when a kept connection breaks.
+func SendOnce(req *http.Request) *http.Request {
 	if req.Body == nil || req.Body == http.NoBody {
 		req.Body = opaque{bytes.NewReader(nil)}
 		req.ContentLength = -1
@@ -100,12 +100,19 @@
 	return req
 }
 
-// sendTrace tells whether any part of a request may have been written to a connection.
-type sendTrace struct {
+// SendTrace tells whether any part of a request may have been written to a connection.
+type SendTrace struct {
 	connected atomic.Bool
 }
 
-func (s *sendTrace) context(ctx context.Context) context.Context {
+// NewSendTrace returns a trace for one request.
+func NewSendTrace() *SendTrace { return &SendTrace{} }
+
+// Connected tells whether the request got a connection.
+func (s *SendTrace) Connected() bool { return s.connected.Load() }
+
+// Context returns a context under which the request is to be sent.
+func (s *SendTrace) Context(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { s.connected.Store(true) },
 	})
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -106,6 +106,7 @@
 	body     payload
 	noRetry  bool
 	first    bool // the caller sends its request key for the first time
+	sent     bool // a byte of the call may have left this node
 }
 
 // ServeHTTP implements http.Handler.
@@ -114,7 +115,7 @@
 	defer i.calls.end()
 	snap := i.settings.Snapshot()
 	if snap == nil {
-		i.refuse(w, notRun(ReasonJoining, "the node has not joined the fleet yet"))
+		i.refuse(w, certain(r, notRun(ReasonJoining, "the node has not joined the fleet yet")))
 		return
 	}
 	if r.URL.Path == KeysPath {
@@ -155,7 +156,8 @@
 // server has answered, and clears it should the answer break.
 func (i *Ingress) serve(q *request, good *bool) *refusal {
 	if f := i.check(q); f != nil {
-		return f
+		sure := certain(q.r, *f)
+		return &sure
 	}
 	var err error
 	if q.body, err = readPayload(q.r); err != nil {
@@ -170,6 +172,18 @@
 	return i.serveKeyed(ctx, q, good)
 }
 
+// certain returns the refusal of a call that this node did not forward. Should the call repeat a key,
+// an earlier attempt of which may have run, it is not called "not run".
+func certain(r *http.Request, f refusal) refusal {
+	if f.outcome != OutcomeNotRun || r.Header.Get(HeaderKey) == "" || r.Header.Get(HeaderAttempt) == "1" {
+		return f
+	}
+	f.outcome = OutcomeUnknown
+	f.status = http.StatusGatewayTimeout
+	f.detail += "; an earlier attempt with the key may have run"
+	return f
+}
+
 // check refuses what no attempt could serve.
 func (i *Ingress) check(q *request) *refusal {
 	var f refusal
@@ -250,11 +264,13 @@
 	req := newRequest(ctx, q.r, owner.String(), q.body)
 	setTimeout(req.Header, q.deadline.Sub(i.settings.Timers.Now())-hopMargin)
 	setHeader(req.Header, HeaderService, q.route.Service())
-	delete(req.Header, HeaderAttempt)
 	if q.route.Idempotent() {
 		delete(req.Header, HeaderKey)
 		setHeader(req.Header, HeaderNoRetry, "1")
 		return req
 	}
-	return once(req)
+	if !q.first || q.sent {
+		delete(req.Header, HeaderAttempt)
+	}
+	return SendOnce(req)
 }
--- a/call/keyed.go
+++ b/call/keyed.go
@@ -20,9 +20,9 @@
 	}
 	ctx, cancel := withDeadline(r.Context(), o.timers, deadline)
 	defer cancel()
-	print := body.fingerprint(r)
+	fp := body.fingerprint(r)
 	for {
-		verdict, answer, done := o.ledger.Begin(o.timers.Now(), key, print)
+		verdict, answer, done := o.ledger.Begin(o.timers.Now(), key, fp)
 		switch verdict {
 		case ledger.VerdictRun:
 			o.runKeyed(ctx, w, r, body, deadline, key)
@@ -38,7 +38,7 @@
 				return
 			}
 		default:
-			o.refuse(w, verdictRefusal(verdict))
+			o.refuse(w, verdictRefusal(verdict, r.Header.Get(HeaderAttempt) == "1"))
 			return
 		}
 	}
@@ -53,8 +53,14 @@
 	}
 }
 
-func verdictRefusal(v ledger.Verdict) refusal {
+// verdictRefusal answers for a call that is not run. A first attempt of a key that never runs here has
+// not run.
+func verdictRefusal(v ledger.Verdict, first bool) refusal {
 	switch v {
+	case ledger.VerdictStale:
+		if first {
+			return notRun(ReasonOwnerGone, "the process that the key names is gone, or the key is expired; take a new key")
+		}
 	case ledger.VerdictNotRun:
 		return notRun(ReasonKeyRefused, "the key was refused as not run; take a new key")
 	case ledger.VerdictMismatch:
--- a/call/owner.go
+++ b/call/owner.go
@@ -51,7 +51,8 @@
 	calls    *flight
 	counters ownerCounters
 
-	tombstone func(now time.Time, key ledger.Key) // seam: makes "not run" final
+	tombstone func(now time.Time, key ledger.Key)   // seam: makes "not run" final
+	protect   func(req *http.Request) *http.Request // seam: keeps net/http from repeating keyed calls
 }
 
 type ownerCounters struct {
@@ -76,6 +77,7 @@
 		counters: newOwnerCounters(s.Scope),
 	}
 	o.tombstone = o.ledger.Refuse
+	o.protect = hideKey
 	if o.server == nil {
 		o.own = &http.Transport{MaxIdleConnsPerHost: maxServerConns, DisableCompression: true}
 		o.server = o.own
--- a/call/send.go
+++ b/call/send.go
@@ -27,11 +27,11 @@
 // send runs a call at the backend server. A refusal as not run is sure: no byte was sent, or the
 // server itself said so.
 func (o *Owner) send(ctx context.Context, r *http.Request, to *backend, body payload, deadline time.Time) (*http.Response, *refusal) {
-	var sent sendTrace
-	req := o.serverRequest(sent.context(ctx), r, to, body, deadline)
+	var sent SendTrace
+	req := o.serverRequest(sent.Context(ctx), r, to, body, deadline)
 	resp, err := o.server.RoundTrip(req)
 	if err != nil {
-		f := serverFault(ctx, sent.connected.Load())
+		f := serverFault(ctx, sent.Connected())
 		return nil, &f
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(OutcomeNotRun) {
@@ -62,20 +62,20 @@
 	setHeader(req.Header, HeaderDepth, strconv.Itoa(depth(r.Header)+1))
 	setTimeout(req.Header, deadline.Sub(o.timers.Now()))
 	if r.Header.Get(HeaderKey) != "" {
-		return sendOnce(req)
+		return o.protect(req)
 	}
 	return req
 }
 
-// sendOnce keeps net/http from sending a keyed request twice. Where the method alone does not make
+// hideKey keeps net/http from sending a keyed request twice. Where the method alone does not make
 // net/http repeat a request, the spelling of the header's name is enough.
-func sendOnce(req *http.Request) *http.Request {
+func hideKey(req *http.Request) *http.Request {
 	key := req.Header[HeaderKey]
 	delete(req.Header, HeaderKey)
 	req.Header["idempotency-key"] = key
 	switch req.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return once(req)
+		return SendOnce(req)
 	}
 	return req
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,6 +22,9 @@
 	VerdictNotRun
 	// VerdictUnknown: whether the call ran can't be told, or its answer is gone.
 	VerdictUnknown
+	// VerdictStale: the key is not remembered and too old to run, or names another process. It will
+	// never run here, but an earlier arrival may have.
+	VerdictStale
 	// VerdictMismatch: the key belongs to another request.
 	VerdictMismatch
 	// VerdictFuture: the key claims to be minted in the future.
@@ -87,7 +90,7 @@
 	key    Key
 	minted time.Time
 	index  int // position in the queue
-	print  Fingerprint
+	fp     Fingerprint
 	phase  phase
 	answer Answer
 }
@@ -135,30 +138,30 @@
 }
 
 // Begin decides what to do with an arrival of a key. The Answer is set with VerdictReplay.
-func (m *Machine) Begin(now time.Time, key Key, print Fingerprint) (Verdict, Answer) {
+func (m *Machine) Begin(now time.Time, key Key, fp Fingerprint) (Verdict, Answer) {
 	m.advance(now)
 	if e, ok := m.entries[key]; ok {
-		return e.verdict(print), e.answer
+		return e.verdict(fp), e.answer
 	}
 	if key.Owner() != m.owner {
-		return VerdictUnknown, Answer{}
+		return VerdictStale, Answer{}
 	}
 	minted := key.Minted()
 	if minted.After(m.now.Add(m.settings.Skew)) {
 		return VerdictFuture, Answer{}
 	}
 	if !minted.After(m.floor) {
-		return VerdictUnknown, Answer{}
+		return VerdictStale, Answer{}
 	}
-	m.add(&entry{key: key, minted: minted, print: print, phase: phaseRunning})
+	m.add(&entry{key: key, minted: minted, fp: fp, phase: phaseRunning})
 	if _, kept := m.entries[key]; !kept {
-		return VerdictUnknown, Answer{}
+		return VerdictStale, Answer{}
 	}
 	return VerdictRun, Answer{}
 }
 
-func (e *entry) verdict(print Fingerprint) Verdict {
-	if e.print != print {
+func (e *entry) verdict(fp Fingerprint) Verdict {
+	if e.fp != fp {
 		return VerdictMismatch
 	}
 	switch e.phase {
--- a/ledger/shared.go
+++ b/ledger/shared.go
@@ -22,10 +22,10 @@
 
 // Begin is like Machine.Begin. With VerdictWait, the channel is closed when the running call has
 // ended; Begin must then be called again.
-func (l *Ledger) Begin(now time.Time, key Key, print Fingerprint) (Verdict, Answer, <-chan struct{}) {
+func (l *Ledger) Begin(now time.Time, key Key, fp Fingerprint) (Verdict, Answer, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	verdict, answer := l.machine.Begin(now, key, print)
+	verdict, answer := l.machine.Begin(now, key, fp)
 	if verdict != VerdictWait {
 		return verdict, answer, nil
 	}
