--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,185 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Row is the burn of one service in one region, or of one of its routes.
+type Row struct {
+	service   string
+	region    member.Region
+	route     string
+	objective record.Objective
+	sums      [windowCount]sum
+}
+
+// Service returns the service.
+func (r Row) Service() string { return r.service }
+
+// Region returns the region of the nodes that counted.
+func (r Row) Region() member.Region { return r.region }
+
+// Route returns the route, or an empty string for all routes of the service.
+func (r Row) Route() string { return r.route }
+
+// Objective returns the objective of the route, zero for all routes of the service.
+func (r Row) Objective() record.Objective { return r.objective }
+
+// Calls returns the calls within a window.
+func (r Row) Calls(w Window) uint64 { return r.sums[w].calls }
+
+// Bad returns the bad calls within a window.
+func (r Row) Bad(w Window) uint64 { return r.sums[w].bad }
+
+// Rate returns the burn rate within a window: 1 uses up the budget exactly, 0 means no bad call.
+func (r Row) Rate(w Window) float64 { return r.sums[w].rate() }
+
+// Left returns the share of the budget of BudgetWindow that is left. It is negative when overspent.
+func (r Row) Left() float64 { return 1 - r.Rate(BudgetWindow) }
+
+// RunsOut returns when the budget is used up if calls go on as in the last hour, and false if they
+// would not use it up. It does not reckon with old calls leaving the window.
+func (r Row) RunsOut() (time.Duration, bool) {
+	if r.Left() <= 0 {
+		return 0, true
+	}
+	rate := r.Rate(Window1h)
+	if rate == 0 {
+		return 0, false
+	}
+	return time.Duration(r.Left() / rate * float64(BudgetWindow.Length())), true
+}
+
+// Alert returns the most urgent alert whose windows both burn too fast.
+func (r Row) Alert() Alert {
+	worst := AlertNone
+	for _, rule := range alertRules {
+		if r.Rate(rule.short) >= rule.rate && r.Rate(rule.long) >= rule.rate {
+			worst = max(worst, rule.alert)
+		}
+	}
+	return worst
+}
+
+func (r *Row) add(s Series, at time.Time) {
+	for _, w := range Windows() {
+		calls, bad := sumWindow(s, w, at)
+		r.sums[w].add(calls, bad, s.objective)
+	}
+}
+
+// Report is the burn that counts amount to.
+type Report struct {
+	counts Counts
+	rows   []Row
+}
+
+// NewReport works out the burn of all services, regions and routes in counts.
+func NewReport(c Counts) Report {
+	r := Report{counts: c}
+	for _, group := range groups(c.series) {
+		total := Row{service: group[0].service, region: group[0].region}
+		details := make([]Row, 0, len(group))
+		for _, s := range group {
+			detail := Row{service: s.service, region: s.region, route: s.route, objective: s.objective}
+			detail.add(s, c.at)
+			total.add(s, c.at)
+			details = append(details, detail)
+		}
+		r.rows = append(append(r.rows, total), details...)
+	}
+	return r
+}
+
+// groups splits sorted series by service and region.
+func groups(series []Series) [][]Series {
+	var out [][]Series
+	for len(series) > 0 {
+		n := 1
+		for n < len(series) && series[n].service == series[0].service && series[n].region == series[0].region {
+			n++
+		}
+		out, series = append(out, series[:n]), series[n:]
+	}
+	return out
+}
+
+// Counts returns the counts behind the report.
+func (r Report) Counts() Counts { return r.counts }
+
+// Rows returns the rows ordered by service and region, each service before its routes. The caller
+// must not change it.
+func (r Report) Rows() []Row { return r.rows }
+
+// Worst returns the most urgent alert of all rows.
+func (r Report) Worst() Alert {
+	worst := AlertNone
+	for _, row := range r.rows {
+		worst = max(worst, row.Alert())
+	}
+	return worst
+}
+
+// Point is the burn rate of one bucket.
+type Point struct {
+	at   time.Time
+	rate float64
+}
+
+// At returns the start of the bucket.
+func (p Point) At() time.Time { return p.at }
+
+// Rate returns the burn rate within the bucket.
+func (p Point) Rate() float64 { return p.rate }
+
+// Line is the burn of one service in one region over time.
+type Line struct {
+	service string
+	region  member.Region
+	points  []Point
+}
+
+// Service returns the service.
+func (l Line) Service() string { return l.service }
+
+// Region returns the region.
+func (l Line) Region() member.Region { return l.region }
+
+// Points returns the burn rate of each bucket with calls, oldest first.
+func (l Line) Points() []Point { return l.points }
+
+// Lines returns the burn over the length of a window, in the buckets from which the window is summed.
+func (r Report) Lines(w Window) []Line {
+	var lines []Line
+	for _, group := range groups(r.counts.series) {
+		lines = append(lines, newLine(group, w, r.counts.at))
+	}
+	return lines
+}
+
+func newLine(group []Series, w Window, at time.Time) Line {
+	sums := make(map[int64]*sum)
+	oldest := w.oldest(at)
+	for _, s := range group {
+		for _, b := range s.rings[windows[w].ring] {
+			if b.start < oldest {
+				continue
+			}
+			if sums[b.start] == nil {
+				sums[b.start] = &sum{}
+			}
+			sums[b.start].add(b.calls, b.bad, s.objective)
+		}
+	}
+	line := Line{service: group[0].service, region: group[0].region}
+	for start, s := range sums {
+		line.points = append(line.points, Point{at: time.Unix(start, 0).UTC(), rate: s.rate()})
+	}
+	slices.SortFunc(line.points, func(a, b Point) int { return cmp.Compare(a.at.Unix(), b.at.Unix()) })
+	return line
+}
--- /dev/null
+++ b/burn/window.go
@@ -0,0 +1,110 @@
+package burn
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Window is a stretch of time up to now over which burn is averaged.
+type Window int
+
+// Windows of a report.
+const (
+	Window5m Window = iota
+	Window30m
+	Window1h
+	Window6h
+	Window3d
+	windowCount
+)
+
+// BudgetWindow is the window over which the budget of bad calls is reckoned.
+const BudgetWindow = Window3d
+
+var windows = [windowCount]struct {
+	name   string
+	length time.Duration
+	ring   int // index in resolutions
+}{
+	{"5m", 5 * time.Minute, 0},
+	{"30m", 30 * time.Minute, 0},
+	{"1h", time.Hour, 0},
+	{"6h", 6 * time.Hour, 1},
+	{"3d", 72 * time.Hour, 2},
+}
+
+// Windows returns all windows, shortest first.
+func Windows() []Window { return []Window{Window5m, Window30m, Window1h, Window6h, Window3d} }
+
+// String returns the length of the window, such as "5m".
+func (w Window) String() string { return windows[w].name }
+
+// Length returns the length of the window. The bucket in progress is counted on top of it.
+func (w Window) Length() time.Duration { return windows[w].length }
+
+// oldest returns the start in Unix seconds of the oldest bucket in the window that ends at a time.
+func (w Window) oldest(at time.Time) int64 {
+	width := int64(resolutions[windows[w].ring].width / time.Second)
+	return at.Unix() - at.Unix()%width - int64(w.Length()/time.Second)
+}
+
+// Alert says how urgent a burn is.
+type Alert uint8
+
+// Alerts, mildest first.
+const (
+	AlertNone Alert = iota
+	AlertTicket
+	AlertPage
+)
+
+// String returns the word that reports use.
+func (a Alert) String() string {
+	return [...]string{"none", "ticket", "page"}[a]
+}
+
+// alertRules hold a pair of windows each. The long one shows that the burn matters, the short one that
+// it still goes on. The rates are those of the Google SRE Workbook, chapter 5, for a budget of 30 days.
+var alertRules = [...]struct {
+	short, long Window
+	rate        float64
+	alert       Alert
+}{
+	{Window5m, Window1h, 14.4, AlertPage},
+	{Window30m, Window6h, 6, AlertPage},
+	{Window6h, Window3d, 1, AlertTicket},
+}
+
+// sum adds up calls against their budgets.
+type sum struct {
+	calls  uint64
+	bad    uint64
+	budget float64 // bad calls allowed
+}
+
+func (s *sum) add(calls, bad uint64, o record.Objective) {
+	s.calls += calls
+	s.bad += bad
+	s.budget += float64(calls) * (1 - o.Target())
+}
+
+// rate returns how many times faster than allowed the budget is burnt, 0 without calls.
+func (s sum) rate() float64 {
+	if s.budget == 0 {
+		return 0
+	}
+	return float64(s.bad) / s.budget
+}
+
+// sumWindow counts the calls of a window: its whole buckets and the one in progress.
+func sumWindow(s Series, w Window, at time.Time) (calls, bad uint64) {
+	oldest := w.oldest(at)
+	for _, b := range s.rings[windows[w].ring] {
+		if b.start >= oldest {
+			calls += b.calls
+			bad += b.bad
+		}
+	}
+	return calls, bad
+}
