--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,9 @@
 		m.start(now)
 	}
 	m.known.notice(now)
+	if key := view.Self(); key != m.self.Key() {
+		m.self = member.New(key, m.self.Place(), m.self.NewestSchema())
+	}
 	level := m.holding.state.Level()
 	if m.plan == nil || m.plan.view != view || m.plan.level != level {
 		m.plan = newPlan(m.self, view, level)
