--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,241 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/bambooknot/bambooknot/member"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "5")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var (
+	start = time.UnixMilli(1_800_000_000_000)
+	peer  = netip.MustParseAddrPort("10.0.0.1:7000")
+)
+
+func TestKeyNamesOwnerAndTime(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	owner := TagOf(member.NewKey(peer, 7))
+	c.Assert(owner, qt.Not(qt.Equals), TagOf(member.NewKey(peer, 8)))
+	key := NewKey("kovani", owner, start, rnd)
+	parsed, err := ParseKey("kovani", key.String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed, qt.Equals, key)
+	c.Assert(parsed.Owner(), qt.Equals, owner)
+	c.Assert(parsed.Minted().Equal(start), qt.IsTrue)
+	c.Assert(NewKey("kovani", owner, start, rnd), qt.Not(qt.Equals), key)
+}
+
+func TestForeignKeysAreRecognised(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	foreign := 0
+	for range 1000 {
+		if _, err := ParseKey("kovani", NewKey("cloghan", 1, start, rnd).String()); err == ErrForeign {
+			foreign++
+		}
+	}
+	c.Assert(foreign > 950, qt.IsTrue, qt.Commentf("%d of 1000", foreign))
+	for _, text := range []string{"", "x", uuid.NewString(), uuid.Nil.String()} {
+		_, err := ParseKey("kovani", text)
+		c.Assert(err, qt.Equals, ErrMalformed)
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	m := NewMachine(Settings{TTL: time.Minute, MaxBytes: 8}, 1, start)
+	key := func(at time.Duration) Key { return NewKey("f", 1, start.Add(at), rnd) }
+	begin := func(at time.Duration, k Key) Verdict {
+		v, _ := m.Begin(start.Add(at), k, 1)
+		return v
+	}
+	answered, lost, refused, large := key(0), key(0), key(0), key(0)
+	for _, k := range []Key{answered, lost, refused, large} {
+		c.Assert(begin(0, k), qt.Equals, VerdictRun)
+		c.Assert(begin(0, k), qt.Equals, VerdictWait)
+	}
+	m.Finish(start, answered, NewAnswer(200, nil, []byte("one")))
+	m.Lose(start, lost)
+	m.Refuse(start, refused)
+	c.Assert(begin(0, answered), qt.Equals, VerdictReplay)
+	c.Assert(begin(0, lost), qt.Equals, VerdictUnknown)
+	c.Assert(begin(0, refused), qt.Equals, VerdictNotRun)
+	v, _ := m.Begin(start, answered, 2)
+	c.Assert(v, qt.Equals, VerdictMismatch)
+	m.Finish(start, large, NewAnswer(200, nil, []byte("eight bytes")))
+	c.Assert(begin(0, large), qt.Equals, VerdictUnknown, qt.Commentf("its answer does not fit"))
+	c.Assert(begin(0, answered), qt.Equals, VerdictUnknown, qt.Commentf("its answer made place"))
+	c.Assert(m.Bytes(), qt.Equals, 0)
+	c.Assert(begin(0, key(time.Hour)), qt.Equals, VerdictFuture)
+	c.Assert(begin(0, key(-time.Second)), qt.Equals, VerdictStale)
+	c.Assert(begin(0, NewKey("f", 2, start, rnd)), qt.Equals, VerdictStale)
+	c.Assert(begin(time.Minute, refused), qt.Equals, VerdictStale)
+	c.Assert(m.Len(), qt.Equals, 0)
+	c.Assert(begin(0, refused), qt.Equals, VerdictStale, qt.Commentf("the clock does not go back"))
+}
+
+// world is a node address at which processes follow each other, and the callers that send keys to it.
+// Messages arrive late, repeated and after the process that they were meant for is gone.
+type world struct {
+	draw        func(n int) int
+	rnd         *rand.Rand
+	now         time.Time
+	incarnation member.Incarnation
+	machine     *Machine
+	newMachine  func(w *world) *Machine
+	refuse      func(m *Machine, now time.Time, k Key)
+
+	keys       []Key
+	running    []Key
+	executions map[Key]int
+	notRun     map[Key]bool
+}
+
+func newWorld(draw func(n int) int) *world {
+	return &world{
+		draw: draw, rnd: rand.New(rand.NewPCG(1, 2)), now: start, incarnation: 1,
+		newMachine: freshMachine, refuse: (*Machine).Refuse,
+		executions: make(map[Key]int), notRun: make(map[Key]bool),
+	}
+}
+
+func freshMachine(w *world) *Machine {
+	settings := Settings{TTL: time.Minute, Skew: time.Second, MaxKeys: 4, MaxBytes: 4}
+	return NewMachine(settings, TagOf(member.NewKey(peer, w.incarnation)), w.now)
+}
+
+// run takes steps until a rule is broken.
+func (w *world) run(steps int) error {
+	w.machine = w.newMachine(w)
+	for range steps {
+		w.step()
+		for k, n := range w.executions {
+			if n > 1 || n == 1 && w.notRun[k] {
+				return fmt.Errorf("key %v: %d executions, called not run: %v", k, n, w.notRun[k])
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) step() {
+	switch w.draw(8) {
+	case 0:
+		skew := time.Duration(w.draw(3)-1) * 500 * time.Millisecond
+		w.keys = append(w.keys, NewKey("f", TagOf(member.NewKey(peer, w.incarnation)), w.now.Add(skew), w.rnd))
+	case 1, 2, 3:
+		w.arrive()
+	case 4, 5:
+		w.end()
+	case 6:
+		w.now = w.now.Add(time.Duration(w.draw(20)) * time.Second)
+	case 7:
+		if w.draw(4) == 0 {
+			w.incarnation++
+			w.running = nil
+			w.machine = w.newMachine(w)
+		}
+	}
+}
+
+func (w *world) arrive() {
+	if len(w.keys) == 0 {
+		return
+	}
+	k := w.keys[w.draw(len(w.keys))]
+	verdict, _ := w.machine.Begin(w.now, k, 1)
+	switch verdict {
+	case VerdictNotRun:
+		w.notRun[k] = true
+	case VerdictRun:
+		if w.draw(3) == 0 { // draining, or no slot
+			w.refuse(w.machine, w.now, k)
+			w.notRun[k] = true
+			return
+		}
+		w.executions[k]++
+		w.running = append(w.running, k)
+	}
+}
+
+func (w *world) end() {
+	if len(w.running) == 0 {
+		return
+	}
+	at := w.draw(len(w.running))
+	k := w.running[at]
+	w.running = append(w.running[:at], w.running[at+1:]...)
+	if w.draw(3) == 0 {
+		w.machine.Lose(w.now, k)
+		return
+	}
+	w.machine.Finish(w.now, k, NewAnswer(200, nil, make([]byte, w.draw(4))))
+}
+
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		if err := w.run(300); err != nil {
+			t.Fatal(err)
+		}
+		if w.machine.Len() > 4 || w.machine.Bytes() > 4 {
+			t.Fatalf("the ledger holds %d keys and %d bytes", w.machine.Len(), w.machine.Bytes())
+		}
+	})
+}
+
+func TestAtMostOnceCatchesBrokenLedgers(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(w *world)
+	}{
+		{"forgets without raising the floor", func(w *world) {
+			w.newMachine = func(w *world) *Machine {
+				m := freshMachine(w)
+				m.forget = func(*Machine, *entry) {}
+				return m
+			}
+		}},
+		{"restarts with the same identity and no start time", func(w *world) {
+			w.newMachine = func(w *world) *Machine {
+				w.incarnation = 1
+				m := freshMachine(w)
+				m.floor = time.Time{}
+				return m
+			}
+		}},
+		{"refuses without a tombstone", func(w *world) {
+			w.refuse = func(m *Machine, _ time.Time, k Key) {
+				m.drop(m.entries[k])
+				m.floor = start.Add(-time.Hour)
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(200) {
+				rnd := rand.New(rand.NewPCG(seed, 1))
+				w := newWorld(rnd.IntN)
+				test.fault(w)
+				if w.run(300) != nil {
+					return
+				}
+			}
+			t.Fatal("no seed shows the fault")
+		})
+	}
+}
