--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,233 @@
+package balance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "5")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var (
+	start = time.Unix(1000, 0)
+	here  = member.NewPlace("west", "w1")
+	near  = member.NewPlace("west", "w2")
+	far   = member.NewPlace("south", "s1")
+	self  = key(0)
+)
+
+func key(n int) member.Key {
+	addr := netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)})
+	return member.NewKey(netip.AddrPortFrom(addr, 7000), 1)
+}
+
+// ready returns a member with a ready server of 4 slots.
+func ready(n int, place member.Place) member.Member {
+	return member.New(key(n), place, record.SchemaNewest).WithServer(member.NewServer("orders", member.ServerReady, 4))
+}
+
+func viewOf(members ...member.Member) *member.View { return member.NewView(self, members) }
+
+func newMachine() *Machine {
+	return New(Settings{}, self, here, rand.New(rand.NewPCG(1, 2)))
+}
+
+// spread makes calls that never end and counts them per server.
+func spread(m *Machine, now time.Time, view *member.View, calls int) map[member.Key]int {
+	counts := make(map[member.Key]int)
+	for range calls {
+		if got, ok := m.Choose(now, view, "orders", nil); ok {
+			m.Started(got.Key())
+			counts[got.Key()]++
+		}
+	}
+	return counts
+}
+
+func TestNearestServersGoFirst(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	view := viewOf(ready(1, here), ready(2, near), ready(3, far))
+	c.Assert(spread(m, start, view, 4), qt.DeepEquals, map[member.Key]int{key(1): 4})
+	c.Assert(spread(m, start, view, 4), qt.DeepEquals, map[member.Key]int{key(2): 4}, qt.Commentf("the nearest is full"))
+	c.Assert(spread(m, start, view, 4), qt.DeepEquals, map[member.Key]int{key(3): 4})
+	c.Assert(spread(m, start, view, 2), qt.DeepEquals, map[member.Key]int{key(1): 2}, qt.Commentf("all are full"))
+}
+
+func TestCarriedLoadCounts(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	view := viewOf(ready(1, here), ready(2, near))
+	spread(m, start, view, 1)
+	m.Carried(start, key(1), NewLoad(4, 3))
+	m.Ended(start, key(1), ResultAnswered)
+	c.Assert(spread(m, start, view, 1), qt.DeepEquals, map[member.Key]int{key(2): 1})
+	later := start.Add(loadMemory)
+	c.Assert(spread(m, later, view, 1), qt.DeepEquals, map[member.Key]int{key(1): 1}, qt.Commentf("the load is old"))
+}
+
+func TestDrainingAndRefusingServersAreAvoided(t *testing.T) {
+	c := qt.New(t)
+	for _, result := range []Result{ResultDraining, ResultRefused} {
+		m := newMachine()
+		view := viewOf(ready(1, here), ready(2, near))
+		spread(m, start, view, 1)
+		m.Ended(start, key(1), result)
+		c.Assert(spread(m, start, view, 2), qt.DeepEquals, map[member.Key]int{key(2): 2})
+		later := start.Add(drainMemory)
+		c.Assert(spread(m, later, view, 1), qt.DeepEquals, map[member.Key]int{key(1): 1})
+	}
+}
+
+func TestSlowStart(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	old := []member.Member{ready(1, here), ready(2, here), ready(3, here)}
+	spread(m, start, viewOf(old...), 1)
+	view := viewOf(append(old, ready(4, here))...)
+	share := func(now time.Time) int {
+		count := 0
+		for range 1000 {
+			got, _ := m.Choose(now, view, "orders", nil)
+			if got.Key() == key(4) {
+				count++
+			}
+		}
+		return count
+	}
+	fresh := share(start)
+	warm := share(start.Add(DefaultSlowStart))
+	c.Assert(fresh < 100, qt.IsTrue, qt.Commentf("%d of 1000", fresh))
+	c.Assert(warm > 200, qt.IsTrue, qt.Commentf("%d of 1000", warm))
+}
+
+func TestConnectionsStayBounded(t *testing.T) {
+	c := qt.New(t)
+	var members []member.Member
+	places := []member.Place{here, near, far}
+	for n := range 580 {
+		members = append(members, ready(n+1, places[n%3]))
+	}
+	view := viewOf(members...)
+	m := newMachine()
+	c.Assert(m.Targets(start, view, "orders"), qt.Equals, 3*DefaultSubset)
+	before := m.pool(start, view, "orders").tiers[sameDomain]
+	gone := before[0].member.Key()
+	var rest []member.Member
+	for _, mem := range members {
+		if mem.Key() != gone {
+			rest = append(rest, mem)
+		}
+	}
+	after := m.pool(start, viewOf(rest...), "orders").tiers[sameDomain]
+	for n, t := range before[1:] {
+		c.Assert(after[n].member.Key(), qt.Equals, t.member.Key(), qt.Commentf("one server less moves one connection"))
+	}
+}
+
+// model ejects servers by failures in any order.
+type model struct {
+	draw    func(n int) int
+	machine *Machine
+	now     time.Time
+	view    *member.View
+	size    int
+}
+
+func newModel(draw func(n int) int) *model {
+	m := &model{draw: draw, machine: newMachine(), now: start}
+	m.size = 1 + draw(7)
+	var members []member.Member
+	for n := range m.size {
+		members = append(members, ready(n+1, []member.Place{here, near, far}[draw(3)]))
+	}
+	m.view = viewOf(members...)
+	return m
+}
+
+func (m *model) run(steps int) error {
+	for range steps {
+		got, ok := m.machine.Choose(m.now, m.view, "orders", nil)
+		if !ok {
+			return fmt.Errorf("no server to choose among %d", m.size)
+		}
+		m.machine.Started(got.Key())
+		if m.draw(4) == 0 {
+			m.machine.Ended(m.now, got.Key(), ResultAnswered)
+		} else {
+			m.machine.Ended(m.now, got.Key(), ResultFailed)
+		}
+		m.now = m.now.Add(time.Duration(m.draw(100)) * time.Millisecond)
+		ejected := 0
+		for _, t := range m.machine.targets {
+			if m.now.Before(t.ejected) {
+				ejected++
+			}
+		}
+		if ejected > max(m.size/3, 1) || ejected >= m.size {
+			return fmt.Errorf("%d of %d servers are ejected", ejected, m.size)
+		}
+	}
+	return nil
+}
+
+func TestEjectionNeverEmpties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		if err := m.run(200); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestEjectionCatchesMissingCap(t *testing.T) {
+	for seed := range uint64(200) {
+		m := newModel(rand.New(rand.NewPCG(seed, 1)).IntN)
+		m.machine.mayEject = func(*pool, time.Time) bool { return true }
+		if m.run(200) != nil {
+			return
+		}
+	}
+	t.Fatal("no seed shows the fault")
+}
+
+func TestEjectedServerComesBack(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	view := viewOf(ready(1, here), ready(2, near))
+	for range DefaultFailures {
+		spread(m, start, view, 1)
+		m.Ended(start, key(1), ResultFailed)
+	}
+	c.Assert(spread(m, start, view, 1), qt.DeepEquals, map[member.Key]int{key(2): 1})
+	got, _ := m.Choose(start, view, "orders", []member.Key{key(2)})
+	c.Assert(got.Key(), qt.Equals, key(1), qt.Commentf("rather an ejected server than none"))
+	c.Assert(spread(m, start.Add(DefaultEjection), view, 1), qt.DeepEquals, map[member.Key]int{key(1): 1})
+}
+
+func BenchmarkChoose580(b *testing.B) {
+	var members []member.Member
+	for n := range 580 {
+		members = append(members, ready(n+1, []member.Place{here, near, far}[n%3]))
+	}
+	view := viewOf(members...)
+	m := newMachine()
+	b.ReportAllocs()
+	for b.Loop() {
+		got, _ := m.Choose(start, view, "orders", nil)
+		m.Started(got.Key())
+		m.Ended(start, got.Key(), ResultAnswered)
+	}
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,28 @@
+package retry_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/retry"
+)
+
+func TestRetriesAreAShareOfFirstAttempts(t *testing.T) {
+	c := qt.New(t)
+	b := retry.New(retry.Settings{Share: 0.25, Reserve: 5})
+	taken := 0
+	for range 1000 { // every call fails and wants two retries
+		b.First()
+		for range 2 {
+			if b.Take() {
+				taken++
+			}
+		}
+	}
+	c.Assert(taken, qt.Equals, 5+1000/4-1)
+	for range 1000 {
+		b.First()
+	}
+	c.Assert(b.Tokens(), qt.Equals, 5.0)
+}
