node: run the control core beside a backend server

The thin whole path: publish, log, fold on every node, a caller's request through any node to the node beside a backend server and back.

--- a/demo/tour.go
+++ b/demo/tour.go
@@ -215,17 +215,13 @@
 
 // executions returns how many calls a backend server has run.
 func executions(server netip.AddrPort) (int, error) {
-	body, err := answer(http.Get("http://" + server.String() + "/control/executions"))
+	body, err := answer(http.Get("http://" + server.String() + "/control/done"))
 	if err != nil {
 		return 0, err
 	}
-	var counts struct {
-		Total int `json:"total"`
-	}
-	if err := json.Unmarshal(body, &counts); err != nil {
-		return 0, err
-	}
-	return counts.Total, nil
+	var total int
+	err = json.Unmarshal(body, &total)
+	return total, err
 }
 
 func (t *tour) stop() error {
--- /dev/null
+++ b/node/thread.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bambooknot/bambooknot/control"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// controlPeriod is the time between two ticks of the control core.
+const controlPeriod = 100 * time.Millisecond
+
+// thread is the control thread: the one goroutine that owns the control core. It takes events in the
+// order of their arrival, has the actions executed by the edges, and publishes snapshots to traffic.
+type thread struct {
+	core     *control.Core
+	clock    *timer.Service
+	execute  func(message.Action)
+	joined   func()
+	queue    *queue
+	snapshot *atomic.Pointer[message.Snapshot]
+	ticks    *timer.Subscription
+	wg       sync.WaitGroup
+}
+
+// newThread starts a control thread over core. It sets snapshot from the time on when the node may
+// serve, and calls joined then, once, on the thread.
+func newThread(core *control.Core, clock *timer.Service, q *queue, snapshot *atomic.Pointer[message.Snapshot], execute func(message.Action), joined func()) *thread {
+	t := &thread{
+		core:     core,
+		snapshot: snapshot,
+		clock:    clock,
+		execute:  execute,
+		joined:   joined,
+		queue:    q,
+	}
+	t.ticks = clock.Every(controlPeriod, func(time.Time) { q.offer(message.Ticked{}) })
+	t.wg.Go(func() {
+		for {
+			select {
+			case e := <-q.events:
+				t.handle(e)
+			case <-q.done:
+				return
+			}
+		}
+	})
+	return t
+}
+
+func (t *thread) handle(e message.Event) {
+	for _, a := range t.decide(e) {
+		t.execute(a)
+	}
+	t.publish()
+}
+
+// publish hands the newest snapshot to traffic, once the node may serve.
+func (t *thread) publish() {
+	held := t.snapshot.Load()
+	if held == nil && !t.core.Joined() {
+		return
+	}
+	if s := t.core.Snapshot(); s != held {
+		t.snapshot.Store(s)
+	}
+	if held == nil {
+		t.joined()
+	}
+}
+
+// decide hands one event to the core.
+func (t *thread) decide(e message.Event) []message.Action {
+	now := t.clock.Now()
+	switch e := e.(type) {
+	case message.Ticked:
+		return t.core.Tick(now)
+	case message.Envelope:
+		return t.core.Receive(now, e)
+	case message.LogPage:
+		return t.core.LogPage(now, e)
+	case message.LogAppended:
+		return t.core.LogAppended(now, e)
+	case message.ServerAnnounced:
+		return t.core.SetServer(now, e.Server())
+	case message.PublishAsked:
+		return t.core.Publish(now, e.Change(), e.Reply)
+	case message.LeaveAsked:
+		return t.core.Leave(now)
+	case message.Asked:
+		e.Ask()
+	}
+	return nil
+}
+
+// Close ends the thread and waits for it.
+func (t *thread) Close() {
+	t.ticks.Close()
+	close(t.queue.done)
+	t.wg.Wait()
+}
