--- a/command/command.go
+++ b/command/command.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -17,6 +18,7 @@
 	ExitRefused     = 3 // the fleet refused the change set
 	ExitUnknown     = 4 // the outcome is not known; the same publish ID may be tried again
 	ExitUnavailable = 5 // the node or the log could not be reached; nothing was changed
+	ExitTimeout     = 6 // what was waited for has not come about in time; it still may
 )
 
 // Env is what a command may use of the process around it.
@@ -40,9 +42,18 @@
 
 var entries []entry
 
-// Register adds a command. Files call it from init.
+// Register adds a command. Files call it from init. Blank lines separate the paragraphs of long; its
+// other line ends do not count.
 func Register(name, short, long string, makeRunner func() Runner) {
-	entries = append(entries, entry{name: name, short: short, long: long, make: makeRunner})
+	entries = append(entries, entry{name: name, short: short, long: joinLines(long), make: makeRunner})
+}
+
+func joinLines(text string) string {
+	paragraphs := strings.Split(text, "\n\n")
+	for i, p := range paragraphs {
+		paragraphs[i] = strings.ReplaceAll(p, "\n", " ")
+	}
+	return strings.Join(paragraphs, "\n\n")
 }
 
 // Run parses the arguments, runs the command that they name and returns the exit code.
--- a/command/publish.go
+++ b/command/publish.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os/user"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -11,23 +12,30 @@
 	"github.com/bambooknot/bambooknot/operator"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/recordfile"
+	"github.com/bambooknot/bambooknot/timer"
 )
 
+// retryPause is the time between two attempts of one publish.
+const retryPause = 500 * time.Millisecond
+
 const publishLong = `Publishes the records of a TOML file as one change set, accepted whole or refused whole.
 The base version is that of --base, else that of the file, else the one that the node holds.
 An unknown outcome is tried again under the same publish ID, which counts once.
 
 Exit codes: 0 accepted; 2 faults in the arguments or the file, nothing was sent; 3 refused;
 4 the outcome is not known, publish again with the --publish-id printed; 5 the node or the log
-could not be reached, nothing was published; 1 any other failure, nothing was published.`
+could not be reached, nothing was published; 6 accepted, but not in force everywhere in time;
+1 any other failure, nothing was published.`
 
 type publishCommand struct {
 	Remote
-	Base      *uint64 `long:"base" value-name:"VERSION" description:"version that the change was prepared against"`
-	PublishID string  `long:"publish-id" value-name:"UUID" description:"identity of the publish, to try again what had an unknown outcome"`
-	Operator  string  `long:"operator" value-name:"NAME" description:"who publishes; default is the file's operator, then the user's name"`
-	Attempts  int     `long:"attempts" value-name:"N" default:"3" description:"how often a publish of unknown outcome is tried, at least once"`
-	JSON      bool    `long:"json" description:"print the receipt as JSON"`
+	Base      *uint64       `long:"base" value-name:"VERSION" description:"version that the change was prepared against"`
+	PublishID string        `long:"publish-id" value-name:"UUID" description:"identity of the publish, to try again what had an unknown outcome"`
+	Operator  string        `long:"operator" value-name:"NAME" description:"who publishes; default is the file's operator, then the user's name"`
+	Attempts  int           `long:"attempts" value-name:"N" default:"3" description:"how often a publish of unknown outcome is tried, at least once"`
+	JSON      bool          `long:"json" description:"print the receipt, and with --wait the progress, as JSON"`
+	Wait      bool          `long:"wait" description:"wait until the version is in force on every node"`
+	Limit     time.Duration `long:"timeout" value-name:"DURATION" default:"1m" description:"how long --wait waits"`
 	Args      struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
 	} `positional-args:"yes"`
@@ -56,7 +64,11 @@
 	}
 	change := file.ChangeSet(id, c.operator(file), base)
 	receipt, err := c.attempt(client, change)
-	return c.report(env, change, receipt, err)
+	code := c.report(env, change, receipt, err)
+	if code != ExitOK || !c.Wait {
+		return code
+	}
+	return c.Follow(env, client, receipt.Outcome().Version(), c.Limit, c.JSON)
 }
 
 func (c *publishCommand) identity(file recordfile.File) (record.PublishID, error) {
@@ -103,8 +115,12 @@
 // taken effect, no later error says that nothing was published.
 func (c *publishCommand) attempt(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
 	inDoubt := false
+	pause := PauseOn(timer.New())
 	var receipt message.Receipt
-	for range max(c.Attempts, 1) {
+	for i := range max(c.Attempts, 1) {
+		if i > 0 {
+			pause(retryPause)
+		}
 		var err error
 		receipt, err = c.once(client, change)
 		if decided := err == nil && receipt.State() == message.ReceiptDecided; decided {
--- a/command/remote.go
+++ b/command/remote.go
@@ -8,31 +8,42 @@
 	"net/netip"
 	"time"
 
+	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/rollout"
+	"github.com/bambooknot/bambooknot/timer"
 )
 
-// Remote are the options of every command that speaks to a node.
+const followPeriod = 200 * time.Millisecond
+
+// Access are the options of every command that speaks to nodes.
+type Access struct {
+	Fleet          string        `long:"fleet" value-name:"NAME" env:"BAMBOOKNOT_FLEET" default:"bambooknot" description:"name of the fleet that the node must belong to"`
+	RequestTimeout time.Duration `long:"request-timeout" value-name:"DURATION" default:"10s" description:"time that one request to a node may take"`
+}
+
+// Remote are the options of every command that speaks to one node.
 type Remote struct {
-	Node    string        `long:"node" value-name:"ADDR" default:"127.0.0.1:7104" description:"operators' port of the node, an IP number with a port"`
-	Fleet   string        `long:"fleet" value-name:"NAME" env:"BAMBOOKNOT_FLEET" default:"bambooknot" description:"name of the fleet that the node must belong to"`
-	Timeout time.Duration `long:"request-timeout" value-name:"DURATION" default:"10s" description:"time that one request to the node may take"`
+	Node string `long:"node" value-name:"ADDR" default:"127.0.0.1:7104" description:"operators' port of the node, an IP number with a port"`
+	Access
 }
 
 // Client returns a client of the node. The error is one of usage.
 func (r Remote) Client() (*operator.Client, error) { return r.ClientOf(r.Node) }
 
-// ClientOf returns a client of another node under the same options.
-func (r Remote) ClientOf(node string) (*operator.Client, error) {
+// ClientOf returns a client of a node. The error is one of usage.
+func (a Access) ClientOf(node string) (*operator.Client, error) {
 	addr, err := netip.ParseAddrPort(node)
 	if err != nil || addr.Port() == 0 {
 		return nil, fmt.Errorf("--node %q: allowed is an IP number with a port, such as 127.0.0.1:7104", node)
 	}
-	return operator.NewClient(addr, r.Fleet, &http.Client{Timeout: r.Timeout}), nil
+	return operator.NewClient(addr, a.Fleet, &http.Client{Timeout: a.RequestTimeout}), nil
 }
 
 // Context returns the context of one request.
-func (r Remote) Context() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), r.Timeout)
+func (a Access) Context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), a.RequestTimeout)
 }
 
 // Fail prints an error of a request that changes nothing, and returns its exit code.
@@ -50,3 +61,36 @@
 	fmt.Fprintln(env.Err, err)
 	return ExitUsage
 }
+
+// Follow follows a version until it is in force everywhere, at most for limit, and prints each change
+// of the progress: as a line of text, or of JSON.
+func (r Remote) Follow(env Env, client *operator.Client, version record.Version, limit time.Duration, asJSON bool) int {
+	clock := timer.New()
+	status := func() (message.Status, error) {
+		ctx, cancel := r.Context()
+		defer cancel()
+		return client.Status(ctx)
+	}
+	last := ""
+	report := func(p rollout.Progress) {
+		if line := progressLine(p, asJSON); line != last {
+			fmt.Fprintln(env.Out, line)
+			last = line
+		}
+	}
+	err := rollout.NewFollower(status, clock.Now, PauseOn(clock)).Follow(version, followPeriod, limit, report)
+	if err != nil {
+		fmt.Fprintln(env.Err, err)
+		return ExitTimeout
+	}
+	return ExitOK
+}
+
+// PauseOn returns a function that waits by a clock.
+func PauseOn(clock *timer.Service) func(time.Duration) {
+	return func(d time.Duration) {
+		done := make(chan struct{})
+		defer clock.After(d, func(time.Time) { close(done) }).Close()
+		<-done
+	}
+}
--- /dev/null
+++ b/command/remote_test.go
@@ -0,0 +1,198 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bambooknot/bambooknot/command"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+const (
+	fleet  = "kovani-dvor"
+	sample = "../doc/examples/records.toml"
+)
+
+// decide says what a fake node answers to the attempt of that number, counted from 0.
+type decide func(attempt int, c record.ChangeSet) message.Receipt
+
+type fakeNode struct {
+	published []record.ChangeSet
+	drained   bool
+}
+
+func startNode(t *testing.T, decide decide) (*fakeNode, string) {
+	n := &fakeNode{}
+	port := operator.New(fleet, operator.Functions{
+		Publish: func(_ context.Context, c record.ChangeSet) message.Receipt {
+			n.published = append(n.published, c)
+			return decide(len(n.published)-1, c)
+		},
+		Status: func() message.Status { return statusAt(41) },
+		Drain:  func() { n.drained = true },
+	}, tally.NoopScope)
+	server := httptest.NewServer(port)
+	t.Cleanup(server.Close)
+	return n, strings.TrimPrefix(server.URL, "http://")
+}
+
+func statusAt(version record.Version) message.Status {
+	key := member.NewKey(netip.MustParseAddrPort("10.0.0.1:7100"), 1)
+	self := member.New(key, member.NewPlace("jadran", "split"), record.Schema2)
+	counts := []message.VersionCount{message.NewVersionCount(version, 1)}
+	return message.NewStatus(message.StatusFields{
+		Self: self, Members: []member.Member{self}, Digest: message.NewDigest(version, record.Offset(version), 0),
+		Census: []message.Census{message.NewCensus("jadran", counts, nil, time.Unix(1, 0))},
+	})
+}
+
+func run(args ...string) (code int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	code = command.Run(args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+func accept(_ int, c record.ChangeSet) message.Receipt {
+	return message.NewDecided(record.Accepted(c.Publish(), 41))
+}
+
+func refuse(_ int, c record.ChangeSet) message.Receipt {
+	return message.NewDecided(record.Refused(c.Publish(), 40, []record.Fault{
+		record.NewFault(record.ReasonConflict, record.NewID(record.KindRoute, "commission"), "", "changed by publish 7 of marko in version 39"),
+		record.NewFault(record.ReasonInvalid, record.NewID(record.KindRoute, "status"), "path", "must start with a slash"),
+	}))
+}
+
+func undecided(state message.ReceiptState) decide {
+	return func(int, record.ChangeSet) message.Receipt {
+		return message.NewUndecided(state, errors.New("log does not answer"))
+	}
+}
+
+// then answers the first attempt by first and later ones by second.
+func then(first, second decide) decide {
+	return func(attempt int, c record.ChangeSet) message.Receipt {
+		if attempt == 0 {
+			return first(attempt, c)
+		}
+		return second(attempt, c)
+	}
+}
+
+func TestPublish(t *testing.T) {
+	unknown, notAppended := undecided(message.ReceiptUnknown), undecided(message.ReceiptNotAppended)
+	for _, test := range []struct {
+		name     string
+		decide   decide
+		args     []string
+		code     int
+		attempts int
+		says     string
+	}{
+		{"accepted", accept, nil, command.ExitOK, 1, "accepted as version 41"},
+		{"accepted and in force", accept, []string{"--wait"}, command.ExitOK, 1, "version 41 in force: jadran 1/1"},
+		{"accepted, not in force", func(_ int, c record.ChangeSet) message.Receipt {
+			return message.NewDecided(record.Accepted(c.Publish(), 42))
+		}, []string{"--wait", "--timeout", "1ms"}, command.ExitTimeout, 1, "jadran 0/1"},
+		{"refused", refuse, nil, command.ExitRefused, 1, "conflict: route/commission: changed by publish 7 of marko in version 39"},
+		{"refused for a field", refuse, nil, command.ExitRefused, 1, "invalid: route/status: path: must start with a slash"},
+		{"not appended", notAppended, nil, command.ExitUnavailable, 1, "nothing was published"},
+		{"unknown, then accepted", then(unknown, accept), nil, command.ExitOK, 2, "accepted as version 41"},
+		{"unknown, then refused", then(unknown, refuse), nil, command.ExitRefused, 2, "refused"},
+		{"unknown, then not appended", then(unknown, notAppended), []string{"--attempts", "2"}, command.ExitUnknown, 2, "--publish-id 00000000-0000-0000-0000-000000000007"},
+		{"unknown", unknown, []string{"--attempts", "1"}, command.ExitUnknown, 1, "the outcome is not known"},
+		{"JSON", accept, []string{"--json"}, command.ExitOK, 1, `"accepted":true,"version":41`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			node, addr := startNode(t, test.decide)
+			args := append([]string{"publish", sample, "--node", addr, "--fleet", fleet, "--publish-id", "00000000-0000-0000-0000-000000000007"}, test.args...)
+			code, out, errOut := run(args...)
+			qt.Check(t, code, qt.Equals, test.code, qt.Commentf("%s%s", out, errOut))
+			qt.Check(t, out+errOut, qt.Contains, test.says)
+			qt.Assert(t, node.published, qt.HasLen, test.attempts)
+			for _, c := range node.published {
+				qt.Check(t, c.Publish(), qt.Equals, node.published[0].Publish())
+				qt.Check(t, c.Base(), qt.Equals, record.Version(41))
+				qt.Check(t, c.Operator(), qt.Equals, "ana")
+			}
+		})
+	}
+}
+
+// TestPublishLostAnswer checks that a connection lost after the request counts as unknown.
+func TestPublishLostAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	code, _, errOut := run("publish", sample, "--node", addr, "--base", "1", "--attempts", "1")
+	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
+	server.Close()
+	code, _, errOut = run("publish", sample, "--node", addr, "--base", "1", "--attempts", "2")
+	qt.Check(t, code, qt.Equals, command.ExitUnavailable, qt.Commentf("%s", errOut))
+}
+
+func TestPublishSendsNothing(t *testing.T) {
+	node, addr := startNode(t, accept)
+	faulty := filepath.Join(t.TempDir(), "faulty.toml")
+	qt.Assert(t, os.WriteFile(faulty, []byte("colour = 1\n[[service]]\nname = 's'\n"), 0o600), qt.IsNil)
+	for _, test := range []struct {
+		name string
+		args []string
+		code int
+		says string
+	}{
+		{"faulty file", []string{faulty, "--node", addr, "--fleet", fleet}, command.ExitUsage, "service[0].schema: missing"},
+		{"every fault at once", []string{faulty, "--node", addr, "--fleet", fleet}, command.ExitUsage, "colour: unknown key"},
+		{"bad publish ID", []string{sample, "--node", addr, "--publish-id", "x"}, command.ExitUsage, "--publish-id"},
+		{"host name", []string{sample, "--node", "localhost:7104"}, command.ExitUsage, "IP number"},
+		{"other fleet", []string{sample, "--node", addr, "--fleet", "cloghan"}, command.ExitFailure, "another fleet"},
+		{"no file", []string{"--node", addr}, command.ExitUsage, "FILE"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			code, _, errOut := run(append([]string{"publish"}, test.args...)...)
+			qt.Check(t, code, qt.Equals, test.code)
+			qt.Check(t, errOut, qt.Contains, test.says)
+			qt.Check(t, node.published, qt.HasLen, 0)
+		})
+	}
+}
+
+func TestDrain(t *testing.T) {
+	node, addr := startNode(t, accept)
+	code, out, _ := run("drain", "--node", addr, "--fleet", fleet)
+	qt.Check(t, code, qt.Equals, command.ExitOK)
+	qt.Check(t, out, qt.Contains, "draining")
+	qt.Check(t, node.drained, qt.IsTrue)
+}
+
+func TestCheck(t *testing.T) {
+	faulty := filepath.Join(t.TempDir(), "faulty.toml")
+	qt.Assert(t, os.WriteFile(faulty, []byte("[fleet]\nname = 1\n"), 0o600), qt.IsNil)
+	code, out, _ := run("check", sample, "../doc/examples/node.toml")
+	qt.Check(t, code, qt.Equals, command.ExitOK)
+	qt.Check(t, out, qt.Equals, sample+": records without a fault\n../doc/examples/node.toml: settings without a fault\n")
+	code, out, errOut := run("check", faulty, sample)
+	qt.Check(t, code, qt.Equals, command.ExitUsage)
+	qt.Check(t, out, qt.Contains, "records without a fault")
+	qt.Check(t, strings.Count(errOut, "fleet.name"), qt.Equals, 1)
+	for _, key := range []string{"fleet.name: 1; allowed is a name", "fleet.log_region: missing", "node.peer: missing", "log.address: missing"} {
+		qt.Check(t, errOut, qt.Contains, faulty+": "+key)
+	}
+}
--- /dev/null
+++ b/query/report.go
@@ -0,0 +1,177 @@
+package query
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+
+	"github.com/bambooknot/bambooknot/burn"
+	"github.com/bambooknot/bambooknot/command"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/operator"
+)
+
+const reportLong = `Prints a report. The only one so far is "burn": how fast each service burns its budget of bad calls,
+by the counts of the nodes asked. Name several nodes with --node again; the report says which of them
+did not answer and how many nodes the fleet has.
+
+Exit codes: 0 every node asked has answered; 1 some have not, the report covers the others; 2 bad
+arguments; 5 no node has answered.`
+
+// Bounds on one report.
+const (
+	maxReportNodes = 1024
+	reportParallel = 8 // nodes asked at once
+)
+
+type reportQuery struct {
+	Nodes []string `long:"node" value-name:"ADDR" default:"127.0.0.1:7104" description:"operators' port of a node to ask, an IP number with a port; may be given again"`
+	command.Access
+	JSON bool   `long:"json" description:"print the report as JSON"`
+	HTML string `long:"html" value-name:"FILE" description:"write the report as one HTML page with plots"`
+	Args struct {
+		Kind string `positional-arg-name:"burn" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	command.Register("report", "Report on service-level burn", reportLong,
+		func() command.Runner { return &reportQuery{} })
+}
+
+// coverage says which nodes a report rests on.
+type coverage struct {
+	asked  int
+	silent []silentNode
+	alive  int // members that the fleet believes alive, 0 if no node said
+}
+
+type silentNode struct {
+	address string
+	err     error
+}
+
+func (q *reportQuery) Run(env command.Env, _ []string) int {
+	clients, err := q.clients()
+	if err != nil {
+		return command.FailUsage(env, err)
+	}
+	counts, cover := q.gather(clients)
+	report := burn.NewReport(counts)
+	if err := q.write(env, report, cover); err != nil {
+		fmt.Fprintln(env.Err, err)
+		return command.ExitFailure
+	}
+	for _, s := range cover.silent {
+		fmt.Fprintf(env.Err, "%s has not answered: %v\n", s.address, s.err)
+	}
+	switch len(cover.silent) {
+	case 0:
+		return command.ExitOK
+	case cover.asked:
+		return command.ExitUnavailable
+	}
+	return command.ExitFailure
+}
+
+func (q *reportQuery) clients() ([]*operator.Client, error) {
+	if q.Args.Kind != "burn" {
+		return nil, fmt.Errorf("report %q: allowed is burn", q.Args.Kind)
+	}
+	q.Nodes = slices.Compact(slices.Sorted(slices.Values(q.Nodes)))
+	if len(q.Nodes) > maxReportNodes {
+		return nil, fmt.Errorf("%d nodes: allowed are %d", len(q.Nodes), maxReportNodes)
+	}
+	clients := make([]*operator.Client, 0, len(q.Nodes))
+	for _, node := range q.Nodes {
+		client, err := q.ClientOf(node)
+		if err != nil {
+			return nil, err
+		}
+		clients = append(clients, client)
+	}
+	return clients, nil
+}
+
+type answer struct {
+	counts burn.Counts
+	alive  int
+	err    error
+}
+
+// gather asks all nodes, a few at once, and merges what they counted.
+func (q *reportQuery) gather(clients []*operator.Client) (burn.Counts, coverage) {
+	answers := make([]answer, len(clients))
+	slots := make(chan struct{}, reportParallel)
+	var wg sync.WaitGroup
+	for i, client := range clients {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := q.Context()
+			defer cancel()
+			answers[i] = ask(ctx, client)
+		})
+	}
+	wg.Wait()
+	return q.merge(answers)
+}
+
+func ask(ctx context.Context, client *operator.Client) answer {
+	counts, err := client.Burn(ctx)
+	if err != nil {
+		return answer{err: err}
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return answer{err: err}
+	}
+	a := answer{counts: counts}
+	for _, m := range status.Members() {
+		if m.Health() == member.HealthAlive {
+			a.alive++
+		}
+	}
+	return a
+}
+
+// merge adds up the answers. A node that answered at two addresses counts once.
+func (q *reportQuery) merge(answers []answer) (burn.Counts, coverage) {
+	cover := coverage{asked: len(answers)}
+	var sum burn.Counts
+	for i, a := range answers {
+		if a.err == nil && overlap(sum, a.counts) {
+			a.err = errors.New("already covered through another address")
+		}
+		if a.err != nil {
+			cover.silent = append(cover.silent, silentNode{address: q.Nodes[i], err: a.err})
+			continue
+		}
+		sum = burn.Merge(sum, a.counts)
+		cover.alive = max(cover.alive, a.alive)
+	}
+	return sum, cover
+}
+
+func overlap(a, b burn.Counts) bool {
+	return slices.ContainsFunc(b.Nodes(), func(k member.Key) bool { return slices.Contains(a.Nodes(), k) })
+}
+
+func (q *reportQuery) write(env command.Env, report burn.Report, cover coverage) error {
+	if q.HTML != "" {
+		page, err := renderPage(report, cover)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(q.HTML, page, 0o644); err != nil {
+			return err
+		}
+	}
+	if q.JSON {
+		return writeReportJSON(env.Out, report, cover)
+	}
+	return writeReportTable(env.Out, report, cover)
+}
--- a/recordfile/read.go
+++ b/recordfile/read.go
@@ -90,27 +90,24 @@
 }
 
 func readPublish(t *tomldoc.Table) record.PublishID {
-	text := t.Text("publish_id", "")
-	if text == "" {
-		return uuid.Nil
-	}
+	text := t.Match("publish_id", validPublish, "a UUID other than the nil UUID")
 	id, err := uuid.Parse(text)
-	if err != nil || id == uuid.Nil {
-		t.Fault("publish_id", "%q; allowed is a UUID other than the nil UUID", text)
+	if err != nil {
+		return uuid.Nil
 	}
 	return id
 }
 
+func validPublish(text string) bool {
+	id, err := uuid.Parse(text)
+	return err == nil && id != uuid.Nil
+}
+
 // readName reads a name of a record: visible ASCII without slashes.
 func readName(t *tomldoc.Table, key string) string {
-	allowed := fmt.Sprintf("1 to %d visible ASCII characters without slashes", maxNameLength)
+	allowed := fmt.Sprintf("a name of 1 to %d visible ASCII characters without slashes", maxNameLength)
 	t.Require(key, allowed)
-	name := t.Text(key, "")
-	if t.Has(key) && !validName(name) {
-		t.Fault(key, "%q; allowed are %s", name, allowed)
-		return ""
-	}
-	return name
+	return t.Match(key, validName, allowed)
 }
 
 func validName(name string) bool {
@@ -154,13 +151,11 @@
 func readPath(t *tomldoc.Table) string {
 	allowed := fmt.Sprintf("a path that starts with a slash, of up to %d bytes", maxPathLength)
 	t.Require("path", allowed)
-	path := t.Text("path", "")
-	if t.Has("path") && (!strings.HasPrefix(path, "/") || len(path) > maxPathLength) {
-		t.Fault("path", "%q; allowed is %s", path, allowed)
-	}
-	return path
+	return t.Match("path", validPath, allowed)
 }
 
+func validPath(path string) bool { return strings.HasPrefix(path, "/") && len(path) <= maxPathLength }
+
 func readResources(t *tomldoc.Table) []string {
 	names := t.Texts("resources", maxResources)
 	for i, name := range names {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -77,19 +77,12 @@
 // Logging returns the section [logging].
 func (s Settings) Logging() Logging { return s.logging }
 
-const (
-	namePattern = `^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`
-	nameAllowed = "up to 63 lower-case letters, digits and inner hyphens"
-)
+const nameAllowed = "a name of up to 63 lower-case letters, digits and inner hyphens"
 
-var validName = regexp.MustCompile(namePattern)
+var validName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // requiredName reads a name that must be set.
 func requiredName(t *tomldoc.Table, key string) string {
 	t.Require(key, nameAllowed)
-	name := t.Text(key, "")
-	if name != "" && !validName.MatchString(name) || name == "" && t.Has(key) {
-		t.Fault(key, "%q; allowed are %s", name, nameAllowed)
-	}
-	return name
+	return t.Match(key, validName.MatchString, nameAllowed)
 }
--- a/tomldoc/value.go
+++ b/tomldoc/value.go
@@ -37,6 +37,20 @@
 	return text
 }
 
+// Match returns a string that valid takes, or an empty string. allowed says what it takes.
+func (t *Table) Match(key string, valid func(string) bool, allowed string) string {
+	v, ok := t.take(key)
+	if !ok {
+		return ""
+	}
+	text, isText := v.(string)
+	if !isText || !valid(text) {
+		t.Fault(key, "%s; allowed is %s", describe(v), allowed)
+		return ""
+	}
+	return text
+}
+
 // Choice returns one of the allowed strings, or fallback when the key is not set.
 func (t *Table) Choice(key, fallback string, allowed ...string) string {
 	text := t.Text(key, fallback)
