control: serve only once the node knows the fleet

Cause: in the demo a node reported ready while it knew no other node, and refused every call because its view held no backend server. Ruled out: a loss of claims; all views held 12 members within 8 s. Change: a node has joined when it also compared views with another node, or met none for 10 s and so is the first. Seen failing first in virtual time with 12 seeds (12 nodes starting within 3 s), passing after.

--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,9 @@
 // TickPeriod is the time between two calls of Tick.
 const TickPeriod = 100 * time.Millisecond
 
+// aloneWait is the time after which a node that has met no other counts as the first of its fleet.
+const aloneWait = 10 * time.Second
+
 // DefaultPublishWait is the time after which an undecided publish is reported as unknown.
 const DefaultPublishWait = 10 * time.Second
 
@@ -38,6 +41,8 @@
 	snapshot   *message.Snapshot
 	notApplied func(err error) bool
 	leaving    bool
+	started    time.Time
+	acquainted bool // knows the fleet, or is the first of it
 }
 
 // New returns the core of a node that holds nothing yet.
@@ -60,6 +65,9 @@
 
 // Tick moves the core on to now. It wants to be called every TickPeriod.
 func (c *Core) Tick(now time.Time) []message.Action {
+	if c.started.IsZero() {
+		c.started = now
+	}
 	out := c.fleet.Tick(now)
 	out = append(out, c.relay.Tick(now, c.fleet.View())...)
 	c.settle(now)
@@ -113,6 +121,7 @@
 
 // settle brings what others see up to date after an event.
 func (c *Core) settle(now time.Time) {
+	c.acquainted = c.acquainted || c.fleet.Joined() || now.Sub(c.started) >= aloneWait
 	c.refresh()
 	c.publisher.settle(now, c.relay.Digest().Head(), c.relay.Outcome)
 }
@@ -130,8 +139,9 @@
 // of them changes.
 func (c *Core) Snapshot() *message.Snapshot { return c.snapshot }
 
-// Joined tells whether the node holds a configuration that it may serve from.
-func (c *Core) Joined() bool { return c.relay.Joined() }
+// Joined tells whether the node holds a configuration that it may serve from and knows the fleet that
+// it would send calls to.
+func (c *Core) Joined() bool { return c.relay.Joined() && c.acquainted }
 
 // Counts returns the events of the distribution counted so far.
 func (c *Core) Counts() relay.Counts { return c.relay.Counts() }
--- /dev/null
+++ b/control/joined_test.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// A node that serves before it knows the fleet would refuse every call.
+func TestNoNodeServesBeforeItKnowsOthers(t *testing.T) {
+	c := quicktest.New(t)
+	for seed := range uint64(12) {
+		w := newTestNetwork(seed, 12)
+		w.start(3 * time.Second)
+		checkAcquainted(c, w)
+		c.Assert(w.allJoined(), quicktest.IsTrue)
+	}
+}
+
+func checkAcquainted(c *quicktest.C, w *network) {
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			if n.core == nil || !n.core.Joined() {
+				continue
+			}
+			known := len(n.core.Snapshot().View().Members())
+			c.Assert(known > 1, quicktest.IsTrue, quicktest.Commentf("node %v", n.core.Self().Key()))
+		}
+	}
+}
