burn: fold each minute into the rings once

Cause: each call wrote to three rings under the route's lock. Change: calls of the minute in progress go to one bucket, which is folded into the rings when the minute ends or a report is made.

--- a/burn/bucket.go
+++ b/burn/bucket.go
@@ -49,12 +49,9 @@
 	return ring{width: int64(r.width / time.Second), buckets: make([]Bucket, r.kept)}
 }
 
-// add counts one call at a Unix time. A call older than the ring reaches, or before 1970, is left out.
-func (r *ring) add(at int64, bad uint64) {
-	if at < 0 {
-		return
-	}
-	start := at - at%r.width
+// add counts the calls of a shorter bucket. One that is older than the ring reaches is left out.
+func (r *ring) add(part Bucket) {
+	start := part.start - part.start%r.width
 	b := &r.buckets[(start/r.width)%int64(len(r.buckets))]
 	if start < b.start {
 		return
@@ -62,8 +59,8 @@
 	if start > b.start {
 		*b = Bucket{start: start}
 	}
-	b.calls++
-	b.bad += bad
+	b.calls += part.calls
+	b.bad += part.bad
 }
 
 // list returns the buckets with calls that the ring still reaches at a Unix time, oldest first.
--- a/burn/counter.go
+++ b/burn/counter.go
@@ -20,6 +20,8 @@
 // all of them take 2.5 MB. Calls on further routes are left out and counted as dropped.
 const MaxSeries = 512
 
+const secondsPerMinute = 60
+
 // Counter counts the calls of one node. It is safe for concurrent use.
 type Counter struct {
 	node   member.Key
@@ -122,8 +124,9 @@
 	calls     tally.Counter
 	badCalls  tally.Counter
 
-	mu    sync.Mutex
-	rings [len(resolutions)]ring
+	mu      sync.Mutex
+	current Bucket // the minute in progress, not yet in the rings
+	rings   [len(resolutions)]ring
 }
 
 func newSeries(route record.Route, scope tally.Scope) *series {
@@ -143,6 +146,7 @@
 	return s.service == route.Service() && s.objective == route.Objective()
 }
 
+// observe counts one call at a Unix time. Times before 1970 count as 1970.
 func (s *series) observe(at int64, good bool) {
 	s.calls.Inc(1)
 	var bad uint64
@@ -152,14 +156,26 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if at < s.current.start || at >= s.current.start+secondsPerMinute {
+		s.flush()
+		s.current.start = max(at-at%secondsPerMinute, 0)
+	}
+	s.current.calls++
+	s.current.bad += bad
+}
+
+// flush moves the minute in progress into the rings.
+func (s *series) flush() {
 	for i := range s.rings {
-		s.rings[i].add(at, bad)
+		s.rings[i].add(s.current)
 	}
+	s.current.calls, s.current.bad = 0, 0
 }
 
 func (s *series) snapshot(region member.Region, now int64) Series {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.flush()
 	out := Series{service: s.service, route: s.route, region: region, objective: s.objective}
 	for i := range s.rings {
 		out.rings[i] = s.rings[i].list(now)
--- a/command/remote_test.go
+++ b/command/remote_test.go
@@ -136,7 +136,7 @@
 
 // TestPublishLostAnswer checks that a connection lost after the request counts as unknown.
 func TestPublishLostAnswer(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
--- a/query/report_page.go
+++ b/query/report_page.go
@@ -22,6 +22,12 @@
 	plotHeight = 4 * vg.Inch
 )
 
+// Shares of the height of a plot that are kept free of lines for its legend.
+const (
+	legendLine = 0.06 // per line of the legend
+	maxLegend  = 0.6
+)
+
 // maxLines is the number of services and regions that one plot shows, as more cannot be told apart.
 const maxLines = 12
 
@@ -94,41 +100,63 @@
 	return out.Bytes(), err
 }
 
-// renderPlot returns the burn rate over a window as an SVG element, a line per service and region.
+// renderPlot returns the burn rate over a window as an SVG element.
 func renderPlot(report burn.Report, window burn.Window) (string, error) {
+	p, err := newPlot(report, window)
+	if err != nil {
+		return "", err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	return svgElement(out.String()), nil
+}
+
+// newPlot returns the plot of the burn rate over a window, a line per service and region.
+func newPlot(report burn.Report, window burn.Window) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = "Burn rate, last " + window.String()
 	p.Y.Label.Text = "times the budget"
 	p.Y.Min = 0
 	p.X.Max = float64(report.Counts().At().Unix())
 	p.X.Min = p.X.Max - window.Length().Seconds()
-	p.X.Tick.Marker = plot.TimeTicks{Format: tickFormat(window), Time: plot.UTCUnixTime}
+	p.X.Tick.Marker = plot.TickerFunc(tickEvery(window))
 	p.Add(plotter.NewGrid())
 	p.Legend.Top, p.Legend.Left = true, true
 	lines := report.Lines(window)
 	for i, line := range lines[:min(len(lines), maxLines)] {
 		if err := addLine(p, i, line); err != nil {
-			return "", err
+			return nil, err
 		}
 	}
 	if len(lines) > maxLines {
 		p.Title.Text += fmt.Sprintf(" (the first %d of %d services and regions)", maxLines, len(lines))
 	}
-	p.Y.Max = max(p.Y.Max, 1)
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var out bytes.Buffer
-	if _, err := canvas.WriteTo(&out); err != nil {
-		return "", err
-	}
-	return svgElement(out.String()), nil
+	legend := float64(min(len(lines), maxLines)) * legendLine
+	p.Y.Max = max(p.Y.Max, 1) / (1 - min(legend, maxLegend))
+	return p, nil
 }
 
-func tickFormat(window burn.Window) string {
-	if window == burn.Window3d {
-		return "Jan 2 15:04"
+// tickEvery returns the ticks of the time axis of a window, at round times of UTC.
+func tickEvery(window burn.Window) func(from, to float64) []plot.Tick {
+	step, format := 10*time.Minute, "15:04"
+	switch window {
+	case burn.Window6h:
+		step = time.Hour
+	case burn.Window3d:
+		step, format = 12*time.Hour, "Jan 2 15:04"
+	}
+	return func(from, to float64) []plot.Tick {
+		var ticks []plot.Tick
+		last := time.Unix(int64(to), 0)
+		for at := time.Unix(int64(from), 0).UTC().Truncate(step).Add(step); !at.After(last); at = at.Add(step) {
+			ticks = append(ticks, plot.Tick{Value: float64(at.Unix()), Label: at.Format(format)})
+		}
+		return ticks
 	}
-	return "15:04"
 }
 
 func addLine(p *plot.Plot, i int, line burn.Line) error {
