--- a/call/body.go
+++ b/call/body.go
@@ -60,11 +60,6 @@
 	return ledger.Fingerprint(h.Sum64())
 }
 
-// opaque hides the type of a reader, so that net/http can't send the body a second time.
-type opaque struct{ io.Reader }
-
-func (opaque) Close() error { return nil }
-
 // newRequest returns a request that passes r on to host.
 func newRequest(ctx context.Context, r *http.Request, host string, p payload) *http.Request {
 	out := &http.Request{
@@ -83,9 +78,9 @@
 	}
 	switch {
 	case p.rest != nil:
-		out.Body = opaque{io.MultiReader(bytes.NewReader(p.data), p.rest)}
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(p.data), p.rest))
 	case len(p.data) > 0:
-		out.Body = opaque{bytes.NewReader(p.data)}
+		out.Body = io.NopCloser(bytes.NewReader(p.data)) // without GetBody, net/http can't send it again
 	}
 	return out.WithContext(ctx)
 }
@@ -94,7 +89,7 @@
 // without a body that carry an Idempotency-Key, or whose method is safe, when a kept connection breaks.
 func SendOnce(req *http.Request) *http.Request {
 	if req.Body == nil || req.Body == http.NoBody {
-		req.Body = opaque{bytes.NewReader(nil)}
+		req.Body = io.NopCloser(bytes.NewReader(nil))
 		req.ContentLength = -1
 	}
 	return req
