--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets: check, build, demo, bench, capacity, fuzz.
 
-.PHONY: check build format lint
+.PHONY: check build format lint demo
 
 check: format lint build
 	go vet ./...
@@ -16,3 +16,6 @@
 
 lint:
 	go tool revive -config revive.toml -set_exit_status ./...
+
+demo:
+	go run ./demo
--- a/demo/tour.go
+++ b/demo/tour.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/bambooknot/bambooknot/rig"
 )
 
@@ -42,8 +44,8 @@
 		{"call every route through every region", t.callAll},
 		{"show the status", func() error { return t.show("status") }},
 		{"publish a change and watch it take effect", t.applyChange},
-		{"drain one server under calls", t.drain},
 		{"report the service-level burn", func() error { return t.show("report", "burn") }},
+		{"drain one server under calls", t.drain},
 		{"stop the nodes", t.stop},
 	} {
 		fmt.Println("==", s.name)
@@ -62,13 +64,18 @@
 	return rig.Until(readyTimeout, t.fleet.AllReady)
 }
 
+// publish publishes a file through the first node and watches it take effect from the last.
 func (t *tour) publish(file string) error {
-	out, err := t.fleet.Operate(0, "publish", file, "--operator", "demo")
+	id, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	out, err := t.fleet.Operate(0, "publish", file, "--operator", "demo", "--publish-id", id.String())
 	fmt.Print(out)
 	if err != nil {
 		return err
 	}
-	out, err = t.fleet.Operate(t.fleet.Size()-1, "watch", "--timeout", watchTimeout)
+	out, err = t.fleet.Operate(t.fleet.Size()-1, "watch", "--publish-id", id.String(), "--timeout", watchTimeout)
 	fmt.Print(out)
 	return err
 }
