--- a/demo/tour.go
+++ b/demo/tour.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bambooknot/bambooknot/rig"
 )
@@ -48,10 +49,11 @@
 		{"drain one server under calls", t.drain},
 		{"stop the nodes", t.stop},
 	} {
-		fmt.Println("==", s.name)
+		begin := time.Now()
 		if err := s.run(); err != nil {
 			return fmt.Errorf("%s: %w", s.name, err)
 		}
+		fmt.Printf("== %s: done in %s\n", s.name, time.Since(begin).Round(time.Millisecond))
 	}
 	fmt.Printf("demo passed: 2 publishes in force on %d nodes, %d calls answered, 1 server drained\n", t.fleet.Size(), t.calls)
 	return nil
@@ -231,14 +233,19 @@
 	return total, err
 }
 
+// stop stops all nodes at once.
 func (t *tour) stop() error {
+	var group errgroup.Group
 	for i := range t.fleet.Size() {
 		if i == drained {
 			continue
 		}
-		if err := t.fleet.Node(i).Stop(); err != nil {
-			return fmt.Errorf("node %d: %w\n%s", i, err, t.fleet.Node(i).Output())
-		}
+		group.Go(func() error {
+			if err := t.fleet.Node(i).Stop(); err != nil {
+				return fmt.Errorf("node %d: %w\n%s", i, err, t.fleet.Node(i).Output())
+			}
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
