--- a/relay/push.go
+++ b/relay/push.go
@@ -73,7 +73,7 @@
 	far := message.NewPush(member.Key{}, push.Seq(), wholeSpan, push.Entries(), census)
 	for _, region := range m.plan.regions {
 		if region != m.self.Place().Region() {
-			m.deliver(now, delivery{push: far, region: region, candidates: m.plan.ranked[region]})
+			m.deliver(now, delivery{push: far, region: region, candidates: m.plan.first(region, m.settings.PushTries)})
 		}
 	}
 }
--- a/relay/rank.go
+++ b/relay/rank.go
@@ -40,46 +40,72 @@
 	view    *member.View
 	level   record.Schema
 	regions []member.Region
-	ranked  map[member.Region][]netip.AddrPort
+	ranked  map[member.Region][]spot
 	ring    []spot // own region without the node itself, in order of position
 }
 
-func newPlan(self member.Member, view *member.View, level record.Schema) *plan {
-	p := &plan{view: view, level: level, ranked: make(map[member.Region][]netip.AddrPort)}
-	p.rank(self)
+func newPlan(self member.Member, view *member.View, level record.Schema, spots spots) *plan {
+	p := &plan{view: view, level: level, ranked: make(map[member.Region][]spot)}
+	p.rank(self, spots.of(self))
 	for _, m := range view.Members() {
 		if m.Key().Peer() == self.Key().Peer() {
 			continue
 		}
-		p.rank(m)
+		s := spots.of(m)
+		p.rank(m, s)
 		if m.Place().Region() == self.Place().Region() {
-			peer := m.Key().Peer()
-			p.ring = append(p.ring, spot{peer, position(peer), merit(peer), m.Health() == member.HealthAlive})
+			p.ring = append(p.ring, s)
 		}
 	}
 	slices.SortFunc(p.ring, func(a, b spot) int { return cmp.Compare(a.position, b.position) })
-	for _, peers := range p.ranked {
-		slices.SortFunc(peers, func(a, b netip.AddrPort) int { return cmp.Compare(merit(b), merit(a)) })
+	for _, ranked := range p.ranked {
+		slices.SortFunc(ranked, func(a, b spot) int { return cmp.Compare(b.merit, a.merit) })
 	}
 	slices.Sort(p.regions)
 	return p
 }
 
+// spots remembers the hashes of addresses.
+type spots map[netip.AddrPort]spot
+
+// spotLimit bounds the addresses remembered.
+const spotLimit = 8192
+
+func (h spots) of(m member.Member) spot {
+	peer := m.Key().Peer()
+	s, ok := h[peer]
+	if !ok {
+		if len(h) >= spotLimit {
+			clear(h)
+		}
+		s = spot{peer: peer, position: position(peer), merit: merit(peer)}
+		h[peer] = s
+	}
+	s.alive = m.Health() == member.HealthAlive
+	return s
+}
+
 // rank enters a member that may read the log: alive, and able to fold records of the fleet's level.
-func (p *plan) rank(m member.Member) {
+func (p *plan) rank(m member.Member, s spot) {
 	region := m.Place().Region()
 	if !slices.Contains(p.regions, region) {
 		p.regions = append(p.regions, region)
 	}
-	if m.Health() != member.HealthAlive || m.NewestSchema() < p.level {
+	if !s.alive || m.NewestSchema() < p.level {
 		return
 	}
-	p.ranked[region] = append(p.ranked[region], m.Key().Peer())
+	p.ranked[region] = append(p.ranked[region], s)
 }
 
 // rankOf returns the rank of a node in a region, from 0, or -1.
 func (p *plan) rankOf(region member.Region, peer netip.AddrPort) int {
-	return slices.Index(p.ranked[region], peer)
+	return slices.IndexFunc(p.ranked[region], func(s spot) bool { return s.peer == peer })
+}
+
+// first returns the best-ranked nodes of a region, at most n.
+func (p *plan) first(region member.Region, n int) []netip.AddrPort {
+	ranked := p.ranked[region]
+	return peersOf(ranked[:min(n, len(ranked))])
 }
 
 // within returns the members of the ring in a span, without one peer.
@@ -127,8 +153,12 @@
 		}
 		return cmp.Compare(b.merit, a.merit)
 	})
-	peers := make([]netip.AddrPort, len(order))
-	for i, s := range order {
+	return peersOf(order)
+}
+
+func peersOf(spots []spot) []netip.AddrPort {
+	peers := make([]netip.AddrPort, len(spots))
+	for i, s := range spots {
 		peers[i] = s.peer
 	}
 	return peers
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	rnd       *rand.Rand
 	started   time.Time
 	plan      *plan
+	spots     spots
 	holding   *holding
 	log       logReader
 	known     knowledge
@@ -58,6 +59,7 @@
 		server:  newStateServer(settings),
 		tree:    newTree(),
 		join:    newJoiner(),
+		spots:   make(spots),
 	}
 }
 
@@ -77,21 +79,29 @@
 
 // Receive takes a peer message. Messages of other parts count only for the digest they may carry.
 func (m *Machine) Receive(now time.Time, view *member.View, env message.Envelope) []message.Action {
-	m.enter(now, view)
 	switch body := env.Body().(type) {
+	case message.Push, message.Report, message.Pull, message.Answer:
+		m.enter(now, view)
+		m.receive(now, env.From(), body)
+		m.decideJoin(now)
+	case digester:
+		m.clock(now)
+		m.observe(now, env.From().Peer(), body.Digest())
+	}
+	return m.leave()
+}
+
+func (m *Machine) receive(now time.Time, from member.Key, body message.Peer) {
+	switch body := body.(type) {
 	case message.Push:
-		m.receivePush(now, env.From(), body)
+		m.receivePush(now, from, body)
 	case message.Report:
-		m.receiveReport(now, env.From(), body)
+		m.receiveReport(now, from, body)
 	case message.Pull:
-		m.receivePull(now, env.From(), body)
+		m.receivePull(now, from, body)
 	case message.Answer:
-		m.receiveAnswer(now, env.From(), body)
-	case digester:
-		m.observe(now, env.From().Peer(), body.Digest())
+		m.receiveAnswer(now, from, body)
 	}
-	m.decideJoin(now)
-	return m.leave()
 }
 
 // digester is a message that carries the sender's digest.
@@ -99,17 +109,21 @@
 
 // enter notes the time and the view with which the machine works until it returns.
 func (m *Machine) enter(now time.Time, view *member.View) {
-	if m.started.IsZero() {
-		m.start(now)
-	}
-	m.known.notice(now)
+	m.clock(now)
 	if key := view.Self(); key != m.self.Key() {
 		m.self = member.New(key, m.self.Place(), m.self.NewestSchema())
 	}
 	level := m.holding.state.Level()
 	if m.plan == nil || m.plan.view != view || m.plan.level != level {
-		m.plan = newPlan(m.self, view, level)
+		m.plan = newPlan(m.self, view, level, m.spots)
+	}
+}
+
+func (m *Machine) clock(now time.Time) {
+	if m.started.IsZero() {
+		m.start(now)
 	}
+	m.known.notice(now)
 }
 
 func (m *Machine) start(now time.Time) {
