--- a/control/log_test.go
+++ b/control/log_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/bambooknot/bambooknot/codec"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/record"
@@ -31,6 +33,9 @@
 	keep    int // entries kept per stream, 0 for all
 	reads   int // of the configuration
 	appends int // of the configuration
+	upSince time.Time
+
+	appended func(e record.Entry) // sees every entry of the configuration
 }
 
 type testStream struct {
@@ -46,7 +51,10 @@
 }
 
 func newTestLog(w *network) *testLog {
-	return &testLog{net: w, streams: make(map[message.Stream]*testStream), cut: func(*testNode) bool { return false }}
+	return &testLog{
+		net: w, streams: make(map[message.Stream]*testStream),
+		cut: func(*testNode) bool { return false }, appended: func(record.Entry) {},
+	}
 }
 
 func (l *testLog) stream(name message.Stream) *testStream {
@@ -160,6 +168,9 @@
 	s := l.stream(name)
 	offset := s.next()
 	s.entries = append(s.entries, record.NewEntry(offset, data))
+	if name == message.StreamConfig {
+		l.appended(s.entries[len(s.entries)-1])
+	}
 	if l.keep > 0 {
 		s.trim(l.keep)
 	}
@@ -170,3 +181,26 @@
 	}
 	return offset
 }
+
+// up ends an outage.
+func (l *testLog) up() {
+	if l.outage {
+		l.upSince = l.net.now
+	}
+	l.outage = false
+}
+
+// trimCovered drops the entries that the newest whole checkpoint covers.
+func (l *testLog) trimCovered() {
+	s := l.stream(message.StreamConfig)
+	for _, e := range slices.Backward(s.entries) {
+		item, err := codec.Decode(e.Data())
+		if err != nil {
+			continue
+		}
+		if c, ok := item.Chunk(); ok && c.Count() == 1 && c.Head() > s.first {
+			s.trim(int(s.next() - c.Head()))
+			return
+		}
+	}
+}
--- a/control/network_test.go
+++ b/control/network_test.go
@@ -48,6 +48,7 @@
 	relaySettings relay.Settings
 	newest        func(i int) record.Schema
 	observe       func(n *testNode) // after every event of a node
+	breaks        func(c *Core)     // replaces a rule of a new process, or nil
 	far           traffic           // all that crosses between the regions
 	farRelay      traffic           // pushes, reports, pulls and answers among it
 }
@@ -175,6 +176,9 @@
 		NotApplied: func(err error) bool { return err == errTestRefused },
 	}
 	n.core = New(settings, rand.New(rand.NewPCG(w.rnd.Uint64(), uint64(n.index))))
+	if w.breaks != nil {
+		w.breaks(n.core)
+	}
 	epoch := n.epoch
 	var tick func()
 	tick = func() {
--- a/relay/holding.go
+++ b/relay/holding.go
@@ -23,6 +23,7 @@
 	maxItems  int
 	maxBytes  int
 	needLevel record.Schema
+	replaces  func(held, offered message.Digest) bool
 
 	cached     []byte
 	cachedHead record.Offset
@@ -35,8 +36,10 @@
 	return &holding{state: state, newest: newest, maxItems: settings.WindowEntries, maxBytes: settings.WindowBytes}
 }
 
-func (h *holding) digest() message.Digest {
-	return message.NewDigest(h.state.Version(), h.state.Head(), h.state.Chain())
+func (h *holding) digest() message.Digest { return digestOf(h.state) }
+
+func digestOf(s *catalog.State) message.Digest {
+	return message.NewDigest(s.Version(), s.Head(), s.Chain())
 }
 
 // apply folds the entry at the head. The error is that of catalog.State.Apply.
@@ -88,7 +91,7 @@
 // replace takes over a whole state that is ahead. It tells whether it did: neither head nor version
 // ever fall.
 func (h *holding) replace(state *catalog.State) bool {
-	if state.Head() <= h.state.Head() || state.Version() < h.state.Version() {
+	if !h.replaces(h.digest(), digestOf(state)) {
 		return false
 	}
 	h.state = state
--- a/relay/join.go
+++ b/relay/join.go
@@ -55,10 +55,10 @@
 		j.offers = nil
 		return
 	}
-	if j.done || now.Sub(m.started) < m.settings.JoinWait || !m.logDown(now) {
+	if j.done || now.Sub(m.started) < m.settings.JoinWait {
 		return
 	}
-	if m.offersSuffice(now) {
+	if m.rules.Offers(m.offersSuffice(now), m.logDown(now)) {
 		j.done, j.unconfirmed = true, true
 		j.offers = nil
 	}
@@ -66,10 +66,8 @@
 
 func (m *Machine) reachedEnd(now time.Time) bool {
 	j := &m.join
-	if j.readAt.IsZero() || now.Sub(j.readAt) > m.settings.StatementAge {
-		return false
-	}
-	return m.holding.state.Head() >= j.next
+	head, next := uint64(m.holding.state.Head()), uint64(j.next)
+	return m.rules.Confirms(!j.readAt.IsZero(), head, next, now.Sub(j.readAt), m.settings.StatementAge)
 }
 
 func (m *Machine) offersSuffice(now time.Time) bool {
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -62,7 +62,7 @@
 	if !m.join.done {
 		return true
 	}
-	if m.puller.ahead.IsValid() && !m.blocked() && now.Sub(m.puller.aheadAt) >= m.settings.PullGrace {
+	if m.puller.ahead.IsValid() && !m.blocked() && m.rules.Repairs() && now.Sub(m.puller.aheadAt) >= m.settings.PullGrace {
 		return true
 	}
 	return m.join.unconfirmed || !m.log.active && now.Sub(m.known.heardAt) > m.settings.Silence-m.settings.PullPeriod
--- a/relay/push.go
+++ b/relay/push.go
@@ -194,11 +194,12 @@
 func (m *Machine) take(now time.Time, from netip.AddrPort, entries message.Entries) bool {
 	before := m.holding.state.Head()
 	chain, ok := m.holding.chainAt(entries.Base())
-	if ok && chain != entries.Chain() {
+	continues := m.rules.Continues(ok, chain, entries.Chain())
+	if ok && !continues {
 		m.sayUnequal()
 		return false
 	}
-	if ok {
+	if continues {
 		m.fold(now, entries.Items())
 	}
 	m.observe(now, from, entries.Digest())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,7 @@
 	join      joiner
 	writer    writer
 	counts    Counts
+	rules     Rules
 	retired   bool
 	out       []message.Action
 }
@@ -53,7 +54,7 @@
 // logRegion. Zero settings stand for Defaults.
 func New(self member.Member, logRegion member.Region, state *catalog.State, settings Settings, rnd *rand.Rand) *Machine {
 	settings = settings.orDefault()
-	return &Machine{
+	m := &Machine{
 		self: self, logRegion: logRegion, settings: settings, rnd: rnd,
 		holding: newHolding(state, self.NewestSchema(), settings),
 		server:  newStateServer(settings),
@@ -61,6 +62,8 @@
 		join:    newJoiner(),
 		spots:   make(spots),
 	}
+	m.SetRules(DefaultRules())
+	return m
 }
 
 // Tick moves the machine on to now. It wants to be called every 100 ms.
--- /dev/null
+++ b/relay/rules.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/message"
+)
+
+// Rules are the decisions on which the promises of the distribution rest. Tests replace one at a time
+// by a broken one, to see that the loss of the promise is noticed.
+type Rules struct {
+	// Replaces tells whether a whole state that is offered takes the place of what is held.
+	Replaces func(held, offered message.Digest) bool
+	// Continues tells whether entries after the chain offered continue what is held.
+	Continues func(known bool, held, offered uint64) bool
+	// Confirms tells whether a node that has folded up to head may serve, when the log ended at next a
+	// time ago. known is false while the node has not heard where the log ends.
+	Confirms func(known bool, head, next uint64, age, limit time.Duration) bool
+	// Offers tells whether what peers offer suffices to serve without the log.
+	Offers func(enough, logDown bool) bool
+	// Repairs tells whether a node pulls from a peer that it knows to be ahead.
+	Repairs func() bool
+}
+
+// DefaultRules returns the rules that keep the promises.
+func DefaultRules() Rules {
+	return Rules{
+		Replaces: func(held, offered message.Digest) bool {
+			return offered.Head() > held.Head() && offered.Version() >= held.Version()
+		},
+		Continues: func(known bool, held, offered uint64) bool { return known && held == offered },
+		Confirms: func(known bool, head, next uint64, age, limit time.Duration) bool {
+			return known && age <= limit && head >= next
+		},
+		Offers:  func(enough, logDown bool) bool { return enough && logDown },
+		Repairs: func() bool { return true },
+	}
+}
+
+// SetRules replaces the rules. It is for tests.
+func (m *Machine) SetRules(r Rules) {
+	m.rules = r
+	m.holding.replaces = r.Replaces
+}
