call: refuse dot segments, bound slow bodies, spill only from a full tier

A path such as /browse/../commission matched the idempotent route and would have run at the backend server without a key; it is refused as bad now. A caller that sends its body slowly holds a call no longer than its deadline. The two random choices may both be full while a near server is free, so the whole tier is looked at before a call spills over.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,6 +32,7 @@
 	loadMemory  = 200 * time.Millisecond // age at which a load carried back counts for nothing
 	drainMemory = 5 * time.Second        // time for which a server that said that it drains is avoided
 	choices     = 2
+	suspectLoad = 2 // share of its slots by which a suspected server seems more loaded
 )
 
 // distance classes servers by where they are, the nearest first.
@@ -121,6 +122,9 @@
 		if t == nil {
 			continue
 		}
+		if t.full(now) {
+			t = m.least(now, tier, tried)
+		}
 		if !t.full(now) {
 			return t.member, true
 		}
@@ -158,6 +162,20 @@
 	return best
 }
 
+// least returns the best of all usable servers.
+func (m *Machine) least(now time.Time, tier []*target, tried []member.Key) *target {
+	var least *target
+	for _, t := range tier {
+		if !t.usable(now, tried) {
+			continue
+		}
+		if least == nil || m.score(now, t) < m.score(now, least) {
+			least = t
+		}
+	}
+	return least
+}
+
 func nthUsable(now time.Time, tier []*target, tried []member.Key, n int) *target {
 	for _, t := range tier {
 		if !t.usable(now, tried) {
@@ -210,6 +228,9 @@
 	if now.Before(t.coolUntil) {
 		load++
 	}
+	if t.member.Health() == member.HealthSuspect {
+		load += suspectLoad
+	}
 	return load / m.weight(now, t)
 }
 
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -49,6 +49,8 @@
 		reason           Reason
 	}{
 		{"no route", "/nothing", "", nil, 404, ReasonNoRoute},
+		{"path of another route", "/browse/../commission", "", nil, 400, ReasonPath},
+		{"encoded path of another route", "/browse/%2e%2e/commission", "", nil, 400, ReasonPath},
 		{"no key", "/commission", "", nil, 428, ReasonKeyMissing},
 		{"malformed key", "/commission", "", []string{HeaderKey, "17"}, 400, ReasonKeyBad},
 		{"foreign key", "/commission", "", []string{HeaderKey, "01932c07-209f-7f4d-8f3a-3c9d8d2b7a11"}, 400, ReasonKeyBad},
--- a/call/header.go
+++ b/call/header.go
@@ -80,6 +80,7 @@
 // Reasons of OutcomeBad.
 const (
 	ReasonNoRoute     Reason = "no-route"     // no route matches the path
+	ReasonPath        Reason = "path"         // the path holds "." or ".."
 	ReasonKeyMissing  Reason = "key-missing"  // the route needs a request key
 	ReasonKeyBad      Reason = "key-bad"      // the key was not issued by a node of this fleet
 	ReasonKeyReused   Reason = "key-reused"   // the key belongs to another request
@@ -194,7 +195,11 @@
 
 // remaining reads the time left from a header, at most limit.
 func remaining(h http.Header, limit time.Duration) time.Duration {
-	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 32)
+	text := h.Get(HeaderTimeout)
+	if text == "" {
+		return limit
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
 	if err != nil {
 		return limit
 	}
@@ -208,9 +213,27 @@
 
 // depth reads how many calls a call is nested in.
 func depth(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(HeaderDepth))
+	text := h.Get(HeaderDepth)
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(text)
 	if err != nil || n < 0 {
 		return 0
 	}
 	return n
 }
+
+// hasDotSegment tells whether a path holds "." or "..", which a backend server may resolve to the path
+// of another route.
+func hasDotSegment(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -122,6 +122,10 @@
 		i.serveKeys(w, r, snap)
 		return
 	}
+	if hasDotSegment(r.URL.Path) {
+		i.refuse(w, bad(http.StatusBadRequest, ReasonPath, "the path must not hold . or .. segments"))
+		return
+	}
 	route, ok := snap.Config().Match(r.URL.Path)
 	if !ok {
 		i.refuse(w, bad(http.StatusNotFound, ReasonNoRoute, "no route matches "+r.URL.Path))
@@ -159,12 +163,11 @@
 		sure := certain(q.r, *f)
 		return &sure
 	}
-	var err error
-	if q.body, err = readPayload(q.r); err != nil {
+	if err := q.readBody(); err != nil {
 		f := bad(http.StatusBadRequest, ReasonBody, "the body of the request broke off")
 		return &f
 	}
-	ctx, cancel := withDeadline(q.r.Context(), i.settings.Timers, q.deadline)
+	ctx, cancel := WithDeadline(q.r.Context(), i.settings.Timers, q.deadline)
 	defer cancel()
 	if q.route.Idempotent() {
 		return i.serveIdempotent(ctx, q, good)
@@ -172,6 +175,21 @@
 	return i.serveKeyed(ctx, q, good)
 }
 
+// readBody reads a small body before anything is sent, by the call's deadline.
+func (q *request) readBody() error {
+	if q.r.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(q.w)
+	_ = control.SetReadDeadline(q.deadline)
+	var err error
+	q.body, err = readPayload(q.r)
+	if err == nil && q.body.whole() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
 // certain returns the refusal of a call that this node did not forward. Should the call repeat a key,
 // an earlier attempt of which may have run, it is not called "not run".
 func certain(r *http.Request, f refusal) refusal {
--- a/call/keyed.go
+++ b/call/keyed.go
@@ -18,7 +18,7 @@
 		o.refuse(w, bad(http.StatusBadRequest, ReasonKeyBad, err.Error()))
 		return
 	}
-	ctx, cancel := withDeadline(r.Context(), o.timers, deadline)
+	ctx, cancel := WithDeadline(r.Context(), o.timers, deadline)
 	defer cancel()
 	fp := body.fingerprint(r)
 	for {
@@ -82,7 +82,7 @@
 	}
 	started := o.timers.Now()
 	defer func() { o.gate.Leave(o.timers.Now().Sub(started)) }()
-	run, cancel := withDeadline(context.WithoutCancel(ctx), o.timers, deadline)
+	run, cancel := WithDeadline(context.WithoutCancel(ctx), o.timers, deadline)
 	defer cancel()
 	resp, fault := o.send(run, r, to, body, deadline)
 	if fault != nil {
--- a/call/owner.go
+++ b/call/owner.go
@@ -158,7 +158,7 @@
 }
 
 func (o *Owner) serveIdempotent(w http.ResponseWriter, r *http.Request, body payload, deadline time.Time) {
-	ctx, cancel := withDeadline(r.Context(), o.timers, deadline)
+	ctx, cancel := WithDeadline(r.Context(), o.timers, deadline)
 	defer cancel()
 	to, fault := o.admit(ctx, r, admission.PriorityIdempotent, deadline)
 	if fault != nil {
--- a/call/send.go
+++ b/call/send.go
@@ -9,17 +9,32 @@
 	"github.com/bambooknot/bambooknot/timer"
 )
 
-// withDeadline is like context.WithDeadline, on the clock of a timer service.
-func withDeadline(ctx context.Context, timers *timer.Service, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
+// deadlineContext reports the deadline that its parent's cancellation enforces.
+type deadlineContext struct {
+	context.Context
+	deadline time.Time
+}
+
+// Deadline implements context.Context.
+func (c deadlineContext) Deadline() (time.Time, bool) {
+	if at, ok := c.Context.Deadline(); ok && at.Before(c.deadline) {
+		return at, true
+	}
+	return c.deadline, true
+}
+
+// WithDeadline is like context.WithDeadline, on the clock of a timer service. Err returns
+// context.Canceled at the deadline; the cause is context.DeadlineExceeded.
+func WithDeadline(ctx context.Context, timers *timer.Service, deadline time.Time) (context.Context, context.CancelFunc) {
+	inner, cancel := context.WithCancelCause(ctx)
 	sub := timers.After(deadline.Sub(timers.Now()), func(time.Time) { cancel(context.DeadlineExceeded) })
-	return ctx, func() {
+	return deadlineContext{Context: inner, deadline: deadline}, func() {
 		sub.Close()
 		cancel(nil)
 	}
 }
 
-// deadlinePassed tells whether a context of withDeadline ended by its deadline.
+// deadlinePassed tells whether a context of WithDeadline ended by its deadline.
 func deadlinePassed(ctx context.Context) bool {
 	return context.Cause(ctx) == context.DeadlineExceeded
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -186,7 +186,7 @@
 	if ms, err := strconv.Atoi(q.Parent.Get(call.HeaderTimeout)); err == nil {
 		left = min(left, time.Duration(ms)*time.Millisecond)
 	}
-	return context.WithTimeout(ctx, left)
+	return call.WithDeadline(ctx, c.timers, c.timers.Now().Add(left))
 }
 
 // send makes one attempt.
