--- a/call/fleet_test.go
+++ b/call/fleet_test.go
@@ -123,7 +123,11 @@
 }
 
 func (f *fleet) do(method, path, body string, header ...string) reply {
-	req, err := http.NewRequest(method, f.port.URL+path, strings.NewReader(body))
+	return f.doAt(f.port.URL, method, path, body, header...)
+}
+
+func (f *fleet) doAt(port, method, path, body string, header ...string) reply {
+	req, err := http.NewRequest(method, port+path, strings.NewReader(body))
 	f.c.Assert(err, qt.IsNil)
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
--- a/standin/server.go
+++ b/standin/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -107,6 +108,13 @@
 	return s.executions[key]
 }
 
+// AllExecutions returns how often the call with each key was started.
+func (s *Server) AllExecutions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.executions)
+}
+
 // Done returns the number of calls that ran to their end.
 func (s *Server) Done() int {
 	s.mu.Lock()
@@ -299,9 +307,7 @@
 func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/control/executions":
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		writeJSON(w, s.executions)
+		writeJSON(w, s.AllExecutions())
 	case "/control/drain":
 		s.Drain()
 		w.WriteHeader(http.StatusNoContent)
