setting, node: keep only settings that take effect

Cause: join_timeout, leave_timeout, max_body, connections and control_bytes were read and used nowhere; retry_share, key_ttl and keys were not handed on. Change: the first are gone and faults now; the others, and key_bytes, reach retry budgets and the ledger, with the defaults of those parts.

--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/bambooknot/bambooknot/operator"
 	"github.com/bambooknot/bambooknot/platform"
 	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/retry"
 	"github.com/bambooknot/bambooknot/setting"
 	"github.com/bambooknot/bambooknot/timer"
 	"github.com/rs/zerolog"
@@ -102,7 +103,7 @@
 		Self:      n.self.Key(),
 		Snapshot:  n.snapshot,
 		Admission: admission.Settings{Queue: s.Call().Queue(), Wait: s.Call().QueueWait()},
-		Ledger:    ledger.Settings{},
+		Ledger:    ledger.Settings{TTL: s.Call().KeyTTL(), MaxKeys: s.Call().Keys(), MaxBytes: s.Call().KeyBytes()},
 		Timers:    n.clock,
 		Scope:     n.metrics.Scope(),
 	})
@@ -115,6 +116,7 @@
 		Forward:  n.forward,
 		NotSent:  notSent,
 		Observe:  n.burn.Observe,
+		Retry:    retry.Settings{Share: s.Call().RetryShare()},
 		Timers:   n.clock,
 		Rand:     n.random(),
 		Scope:    n.metrics.Scope(),
--- a/setting/call.go
+++ b/setting/call.go
@@ -8,64 +8,59 @@
 
 // Defaults and bounds of the section [call].
 const (
-	defaultQueue       = 64
-	maxQueue           = 1 << 16
-	defaultQueueWait   = 100 * time.Millisecond
-	minQueueWait       = time.Millisecond
-	maxQueueWait       = time.Minute
-	defaultRetryShare  = 0.1
-	defaultMaxBody     = 1 << 20
-	minMaxBody         = 1 << 10
-	maxMaxBody         = 64 << 20
-	defaultKeyTTL      = 10 * time.Minute
-	minKeyTTL          = time.Second
-	maxKeyTTL          = 24 * time.Hour
-	defaultKeys        = 100_000
-	maxKeys            = 10_000_000
-	defaultConnections = 130
-	maxConnections     = 10_000
+	defaultQueue      = 0
+	maxQueue          = 1 << 16
+	defaultQueueWait  = 100 * time.Millisecond
+	minQueueWait      = time.Millisecond
+	maxQueueWait      = time.Minute
+	defaultRetryShare = 0.1
+	minRetryShare     = 0.001
+	defaultKeyTTL     = 5 * time.Minute
+	minKeyTTL         = time.Second
+	maxKeyTTL         = 24 * time.Hour
+	defaultKeys       = 1 << 17
+	maxKeys           = 10_000_000
+	defaultKeyBytes   = 32 << 20
+	minKeyBytes       = 1 << 20
+	maxKeyBytes       = 1 << 30
 )
 
 // Call is the section [call]: limits on callers' requests.
 type Call struct {
-	queue       int
-	queueWait   time.Duration
-	retryShare  float64
-	maxBody     int64
-	keyTTL      time.Duration
-	keys        int
-	connections int
+	queue      int
+	queueWait  time.Duration
+	retryShare float64
+	keyTTL     time.Duration
+	keys       int
+	keyBytes   int
 }
 
 func readCall(t *tomldoc.Table) Call {
 	return Call{
-		queue:       int(t.Int("queue", defaultQueue, 0, maxQueue)),
-		queueWait:   t.Duration("queue_wait", defaultQueueWait, minQueueWait, maxQueueWait),
-		retryShare:  t.Float("retry_share", defaultRetryShare, 0, 1),
-		maxBody:     t.Int("max_body", defaultMaxBody, minMaxBody, maxMaxBody),
-		keyTTL:      t.Duration("key_ttl", defaultKeyTTL, minKeyTTL, maxKeyTTL),
-		keys:        int(t.Int("keys", defaultKeys, 1, maxKeys)),
-		connections: int(t.Int("connections", defaultConnections, 1, maxConnections)),
+		queue:      int(t.Int("queue", defaultQueue, 0, maxQueue)),
+		queueWait:  t.Duration("queue_wait", defaultQueueWait, minQueueWait, maxQueueWait),
+		retryShare: t.Float("retry_share", defaultRetryShare, minRetryShare, 1),
+		keyTTL:     t.Duration("key_ttl", defaultKeyTTL, minKeyTTL, maxKeyTTL),
+		keys:       int(t.Int("keys", defaultKeys, 1, maxKeys)),
+		keyBytes:   int(t.Int("key_bytes", defaultKeyBytes, minKeyBytes, maxKeyBytes)),
 	}
 }
 
-// Queue returns how many calls may wait for a slot of the backend server beside the node.
+// Queue returns how many calls may wait for a slot of the backend server beside the node, or zero for
+// as many as the server has slots.
 func (c Call) Queue() int { return c.queue }
 
 // QueueWait returns how long a call may wait for a slot.
 func (c Call) QueueWait() time.Duration { return c.queueWait }
 
-// RetryShare returns the retries permitted as a share of first attempts, between 0 and 1.
+// RetryShare returns the retries permitted as a share of first attempts, above 0 and up to 1.
 func (c Call) RetryShare() float64 { return c.retryShare }
 
-// MaxBody returns the largest request body in bytes that is taken and may be sent again.
-func (c Call) MaxBody() int64 { return c.maxBody }
-
-// KeyTTL returns how long a node keeps the outcome of a request key.
+// KeyTTL returns how long after its minting a request key is run or its outcome repeated.
 func (c Call) KeyTTL() time.Duration { return c.keyTTL }
 
-// Keys returns how many request keys a node keeps at most.
+// Keys returns how many request keys the node remembers at most.
 func (c Call) Keys() int { return c.keys }
 
-// Connections returns how many connections the node opens to its backend server at most.
-func (c Call) Connections() int { return c.connections }
+// KeyBytes returns how many bytes of answers to request keys the node keeps at most.
+func (c Call) KeyBytes() int { return c.keyBytes }
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -14,6 +14,9 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/bambooknot/bambooknot/admission"
+	"github.com/bambooknot/bambooknot/ledger"
+	"github.com/bambooknot/bambooknot/retry"
 	"github.com/bambooknot/bambooknot/setting"
 	"github.com/bambooknot/bambooknot/tomldoc"
 )
@@ -31,6 +34,11 @@
 	qt.Check(t, s.Listen().Operators(), qt.Equals, netip.MustParseAddrPort("127.0.0.1:7104"))
 	qt.Check(t, s.Log().AppendTimeout(), qt.Equals, 3*time.Second)
 	qt.Check(t, s.Logging().Level(), qt.Equals, "info")
+	qt.Check(t, s.Call().RetryShare(), qt.Equals, retry.DefaultShare)
+	qt.Check(t, s.Call().KeyTTL(), qt.Equals, ledger.DefaultTTL)
+	qt.Check(t, s.Call().Keys(), qt.Equals, ledger.DefaultMaxKeys)
+	qt.Check(t, s.Call().KeyBytes(), qt.Equals, ledger.DefaultMaxBytes)
+	qt.Check(t, s.Call().QueueWait(), qt.Equals, admission.DefaultWait)
 }
 
 // TestSampleDefaults checks that each default shown in a comment is the one in force.
@@ -59,14 +67,14 @@
 		{"port zero", `"10.1.0.12:7100"`, `"10.1.0.12:0"`, "node.peer", "from 1 to 65535"},
 		{"no address", `"10.1.0.12:7100"`, `"0.0.0.0:7100"`, "node.peer", "IP number"},
 		{"bad hint", `"10.2.0.11:7100"`, `7`, "fleet.hints[1]", "IP number"},
-		{"duration without unit", `# join_timeout = "30s"`, `join_timeout = 30`, "node.join_timeout", "duration"},
-		{"duration too long", `# join_timeout = "30s"`, `join_timeout = "11m"`, "node.join_timeout", "10m0s"},
+		{"duration without unit", `# drain_timeout = "30s"`, `drain_timeout = 30`, "node.drain_timeout", "duration"},
+		{"duration too long", `# drain_timeout = "30s"`, `drain_timeout = "11m"`, "node.drain_timeout", "10m0s"},
 		{"remote operators", `# operators = "127.0.0.1:7104"`, `operators = "10.1.0.12:7104"`, "listen.operators", "allow_remote"},
 		{"remote server", `# server = "127.0.0.1:7102"`, `server = "10.1.0.12:7102"`, "listen.server", "loopback"},
 		{"address twice", `"10.1.0.12:7101"`, `"10.1.0.12:7100"`, "listen.callers", "node.peer"},
-		{"share above one", `# retry_share = 0.1`, `retry_share = 1.5`, "call.retry_share", "from 0 to 1"},
-		{"share not a number", `# retry_share = 0.1`, `retry_share = nan`, "call.retry_share", "from 0 to 1"},
-		{"fraction of a body", `# max_body = 1048576`, `max_body = 2048.5`, "call.max_body", "whole number"},
+		{"share above one", `# retry_share = 0.1`, `retry_share = 1.5`, "call.retry_share", "from 0.001 to 1"},
+		{"share not a number", `# retry_share = 0.1`, `retry_share = nan`, "call.retry_share", "from 0.001 to 1"},
+		{"fraction of a key", `# keys = 131072`, `keys = 2048.5`, "call.keys", "whole number"},
 		{"unknown level", `# level = "info"`, `level = "loud"`, "logging.level", "debug, info, warn, error"},
 		{"unknown key", `# level = "info"`, `colour = true`, "logging.colour", "allowed are level"},
 		{"unknown section", `[logging]`, `[loging]`, "loging", "allowed are fleet, node, listen"},
