--- a/query/watch.go
+++ b/query/watch.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/bambooknot/bambooknot/command"
+	"github.com/bambooknot/bambooknot/metric"
 	"github.com/bambooknot/bambooknot/operator"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/timer"
@@ -15,11 +17,12 @@
 
 const watchLong = `Follows a version until it, or a newer one, is in force on every node of every region, and prints
 a line whenever the progress changes. With --publish-id it first waits for the outcome of that publish.
+Without either it follows the newest version that the node knows of, once there is one.
 
 Exit codes: 0 in force everywhere; 2 bad arguments; 3 the publish was refused; 6 not in force, or no
 outcome known, within the timeout.`
 
-const outcomePeriod = 200 * time.Millisecond
+const askPeriod = 200 * time.Millisecond
 
 type watchQuery struct {
 	command.Remote
@@ -41,12 +44,15 @@
 	if err != nil {
 		return command.FailUsage(env, err)
 	}
-	if (q.Args.Version == nil) == (q.PublishID == "") {
+	if q.Args.Version != nil && q.PublishID != "" {
 		return command.FailUsage(env, errors.New("allowed is either VERSION or --publish-id"))
 	}
 	if q.Args.Version != nil {
 		return q.Follow(env, client, record.Version(*q.Args.Version), q.Limit, q.JSON)
 	}
+	if q.PublishID == "" {
+		return q.followNewest(env, client)
+	}
 	id, err := uuid.Parse(q.PublishID)
 	if err != nil {
 		return command.FailUsage(env, fmt.Errorf("--publish-id: %w", err))
@@ -56,36 +62,56 @@
 
 // followPublish waits for the outcome, then follows the version for the time that is left.
 func (q *watchQuery) followPublish(env command.Env, client *operator.Client, id record.PublishID) int {
-	clock := timer.New()
-	deadline := clock.Now().Add(q.Limit)
-	outcome, err := q.awaitOutcome(client, id, clock, deadline)
+	var outcome record.Outcome
+	left, err := q.await(func() (known bool, err error) {
+		ctx, cancel := q.Context()
+		defer cancel()
+		outcome, known, err = client.Outcome(ctx, id)
+		return known, err
+	})
 	if err != nil {
-		fmt.Fprintln(env.Err, err)
+		fmt.Fprintln(env.Err, fmt.Errorf("no outcome of %s known in time: %w", id, err))
 		return command.ExitTimeout
 	}
 	if !outcome.Accepted() {
 		command.PrintOutcome(env, outcome)
 		return command.ExitRefused
 	}
-	return q.Follow(env, client, outcome.Version(), deadline.Sub(clock.Now()), q.JSON)
+	return q.Follow(env, client, outcome.Version(), left, q.JSON)
 }
 
-func (q *watchQuery) awaitOutcome(client *operator.Client, id record.PublishID, clock *timer.Service, deadline time.Time) (record.Outcome, error) {
+// followNewest waits until the node knows of a version, then follows it for the time that is left.
+func (q *watchQuery) followNewest(env command.Env, client *operator.Client) int {
+	var version record.Version
+	left, err := q.await(func() (known bool, err error) {
+		ctx, cancel := q.Context()
+		defer cancel()
+		status, err := client.Status(ctx)
+		version = max(status.Digest().Version(), metric.Newest(status.Census()))
+		return version > 0, err
+	})
+	if err != nil {
+		fmt.Fprintln(env.Err, fmt.Errorf("no version known in time: %w", err))
+		return command.ExitTimeout
+	}
+	return q.Follow(env, client, version, left, q.JSON)
+}
+
+var errNothingKnown = errors.New("the node knows none")
+
+// await asks until something is known and returns the time that is left, or an error when there is none.
+func (q *watchQuery) await(ask func() (known bool, err error)) (time.Duration, error) {
+	clock := timer.New()
 	pause := command.PauseOn(clock)
+	deadline := clock.Now().Add(q.Limit)
 	for {
-		outcome, ok, err := q.askOutcome(client, id)
-		if ok {
-			return outcome, nil
+		known, err := ask()
+		if known {
+			return deadline.Sub(clock.Now()), nil
 		}
-		if clock.Now().Add(outcomePeriod).After(deadline) {
-			return record.Outcome{}, errors.Join(fmt.Errorf("no outcome of %s known in time", id), err)
+		if clock.Now().Add(askPeriod).After(deadline) {
+			return 0, cmp.Or(err, errNothingKnown)
 		}
-		pause(outcomePeriod)
+		pause(askPeriod)
 	}
 }
-
-func (q *watchQuery) askOutcome(client *operator.Client, id record.PublishID) (record.Outcome, bool, error) {
-	ctx, cancel := q.Context()
-	defer cancel()
-	return client.Outcome(ctx, id)
-}
