--- a/rig/fleet.go
+++ b/rig/fleet.go
@@ -144,9 +144,10 @@
 	return nil
 }
 
-// StartLog starts the stand-in for the platform's log. It holds nothing from before.
+// StartLog starts the stand-in for the platform's log. It holds what it held when it was killed.
 func (f *Fleet) StartLog() (err error) {
-	f.log, err = startProcess("log", f.Program("standinlog"), "--listen", f.LogAddress().String())
+	keep := filepath.Join(f.work, "log.entries")
+	f.log, err = startProcess("log", f.Program("standinlog"), "--listen", f.LogAddress().String(), "--keep", keep)
 	return err
 }
 
--- a/standin/log.go
+++ b/standin/log.go
@@ -59,6 +59,7 @@
 
 	mu      sync.Mutex
 	streams map[string]*logStream
+	store   *logStore // nil keeps entries in memory only
 	faults  logFaults
 	closed  chan struct{}
 	active  sync.WaitGroup
@@ -111,6 +112,7 @@
 	}
 	l.mu.Unlock()
 	l.active.Wait()
+	l.store.close()
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
@@ -146,6 +148,11 @@
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
+	if err := l.store.write(name, now, data); err != nil {
+		l.mu.Unlock()
+		refuse(w, http.StatusInternalServerError, err)
+		return
+	}
 	offset := s.add(now, data)
 	s.trim(now, l.settings)
 	lost := l.faults.takeLostAck()
--- /dev/null
+++ b/standin/log_store_test.go
@@ -0,0 +1,48 @@
+package standin
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+func TestLogKeepsEntriesOverRestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	first := startKept(t, path)
+	qt.Assert(t, appendTo(first, "config", "one"), qt.Equals, `{"offset":0}`)
+	qt.Assert(t, appendTo(first, "config", "two"), qt.Equals, `{"offset":1}`)
+	first.Close()
+
+	// A kill in the middle of a write leaves a part of an entry behind.
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = file.Write([]byte{0xa3, 0x01, 0x66, 'c', 'o'})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, file.Close(), qt.IsNil)
+
+	second := startKept(t, path)
+	qt.Assert(t, appendTo(second, "config", "three"), qt.Equals, `{"offset":2}`)
+	second.Close()
+	third := startKept(t, path)
+	qt.Assert(t, appendTo(third, "config", "four"), qt.Equals, `{"offset":3}`)
+	third.Close()
+}
+
+func startKept(t *testing.T, path string) *Log {
+	l := NewLog(DefaultLogSettings(), timer.New())
+	qt.Assert(t, l.Keep(path), qt.IsNil)
+	return l
+}
+
+func appendTo(l *Log, stream, data string) string {
+	w := httptest.NewRecorder()
+	l.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/streams/"+stream, strings.NewReader(data)))
+	return strings.TrimSpace(w.Body.String())
+}
--- a/standinlog/main.go
+++ b/standinlog/main.go
@@ -1,4 +1,5 @@
-// Standinlog serves a stand-in for the platform's log service on loopback. Its entries live in memory.
+// Standinlog serves a stand-in for the platform's log service on loopback. Its entries live in memory,
+// and in a file if one is named.
 package main
 
 import (
@@ -27,6 +28,7 @@
 	Retain    int           `long:"retain" default:"10000" description:"entries kept per stream"`
 	RetainAge time.Duration `long:"retain-age" default:"24h" description:"time for which an entry is kept, 0 for no limit"`
 	Rate      int           `long:"rate" default:"500" description:"appends taken per second"`
+	Keep      string        `long:"keep" value-name:"FILE" description:"file that keeps the entries over a restart"`
 	MaxEntry  int           `long:"max-entry" default:"65536" description:"size of an entry in bytes"`
 }
 
@@ -52,6 +54,11 @@
 	log := standin.NewLog(standin.LogSettings{
 		Retain: o.Retain, RetainAge: o.RetainAge, AppendsPerSecond: o.Rate, MaxEntry: o.MaxEntry,
 	}, timer.New())
+	if o.Keep != "" {
+		if err := log.Keep(o.Keep); err != nil {
+			return err
+		}
+	}
 	server := &http.Server{Handler: log, ReadHeaderTimeout: headerTimeout}
 	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
