--- /dev/null
+++ b/control/broken_test.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/relay"
+)
+
+// brokenSchedules bounds the schedules within which the loss of a promise must show.
+const brokenSchedules = 60
+
+// TestPromisesCatchBroken sees each promise lost when the rule behind it is replaced by a broken one.
+func TestPromisesCatchBroken(t *testing.T) {
+	tests := []struct {
+		name   string
+		breaks func(c *Core)
+		want   string
+	}{
+		{"whole states replace newer ones", func(c *Core) {
+			r := relay.DefaultRules()
+			r.Replaces = func(held, offered message.Digest) bool { return offered.Head() != held.Head() }
+			r.States = func(asked, held uint64, _ bool) bool { return asked != held }
+			c.relay.SetRules(r)
+		}, "fell"},
+		{"serve before the end of the log is known", func(c *Core) {
+			r := relay.DefaultRules()
+			r.Confirms = func(bool, uint64, uint64, time.Duration, time.Duration) bool { return true }
+			c.relay.SetRules(r)
+		}, "serves from head"},
+		{"serve what peers offer while the log is up", func(c *Core) {
+			r := relay.DefaultRules()
+			r.Offers = func(bool, bool) bool { return true }
+			c.relay.SetRules(r)
+		}, "joined without the log"},
+		{"nobody pulls", func(c *Core) {
+			r := relay.DefaultRules()
+			r.Repairs = func() bool { return false }
+			c.relay.SetRules(r)
+		}, "not equal within the bound"},
+		{"any error of an append means not appended", func(c *Core) {
+			c.notApplied = func(error) bool { return true }
+		}, "is said not to be appended"},
+		{"an acknowledged append counts as accepted", func(c *Core) {
+			c.publisher.decide = func(x *publishing, _ record.Offset, outcome func(record.PublishID) (record.Outcome, bool)) (record.Outcome, bool) {
+				if x.acked {
+					return record.Accepted(x.id, record.Version(x.offset+1)), true
+				}
+				return outcome(x.id)
+			}
+		}, "receipt of"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			quicktest.Assert(t, firstBroken(t, test.breaks), quicktest.Contains, test.want)
+		})
+	}
+}
+
+// firstBroken runs schedules until one breaks a promise.
+func firstBroken(t *testing.T, breaks func(*Core)) string {
+	found := ""
+	for seed := range brokenSchedules {
+		gen := rapid.Custom(func(t *rapid.T) string {
+			broken, _ := runSchedule(t, 11, breaks)
+			return broken
+		})
+		found = gen.Example(seed)
+		if found != "" {
+			t.Log(strings.SplitN(found, "\n", 2)[0])
+			return found
+		}
+	}
+	return found
+}
--- a/control/publish.go
+++ b/control/publish.go
@@ -76,6 +76,16 @@
 	token   uint64
 	pending []*publishing
 	tried   []attempt // oldest first
+
+	decide func(x *publishing, head record.Offset, outcome outcomes) (record.Outcome, bool) // seam for tests
+}
+
+// outcomes returns the decision on a publish, if it is known.
+type outcomes = func(record.PublishID) (record.Outcome, bool)
+
+// folded takes a decision from the fold alone: an entry in the log is not yet an accepted one.
+func folded(x *publishing, _ record.Offset, outcome outcomes) (record.Outcome, bool) {
+	return outcome(x.id)
 }
 
 // publishing is one publish under way.
@@ -99,7 +109,7 @@
 // maxAttempts bounds the publishes remembered.
 const maxAttempts = 1024
 
-func newPublisher(wait time.Duration) publisher { return publisher{wait: wait} }
+func newPublisher(wait time.Duration) publisher { return publisher{wait: wait, decide: folded} }
 
 func (p *publisher) begin(now time.Time, id record.PublishID, data []byte, done func(message.Receipt)) message.AppendLog {
 	p.token++
@@ -141,10 +151,10 @@
 }
 
 // settle gives receipts to the publishes of which the end is known.
-func (p *publisher) settle(now time.Time, head record.Offset, outcome func(record.PublishID) (record.Outcome, bool)) {
+func (p *publisher) settle(now time.Time, head record.Offset, outcome outcomes) {
 	var settled []func()
 	p.pending = slices.DeleteFunc(p.pending, func(x *publishing) bool {
-		receipt, ok := x.receipt(now, head, outcome)
+		receipt, ok := p.receipt(x, now, head, outcome)
 		if ok {
 			settled = append(settled, func() { x.done(receipt) })
 		}
@@ -155,8 +165,8 @@
 	}
 }
 
-func (x *publishing) receipt(now time.Time, head record.Offset, outcome func(record.PublishID) (record.Outcome, bool)) (message.Receipt, bool) {
-	if o, ok := outcome(x.id); ok {
+func (p *publisher) receipt(x *publishing, now time.Time, head record.Offset, outcome outcomes) (message.Receipt, bool) {
+	if o, ok := p.decide(x, head, outcome); ok {
 		return message.NewDecided(o), true
 	}
 	if x.refused {
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -195,10 +195,10 @@
 	chain, known := m.holding.chainAt(head)
 	nothing := message.NewEntries(own.Head(), own.Chain(), nil, own, m.statement(now))
 	empty := message.NewAnswer(p.Nonce(), m.join.done, nothing)
-	if head >= own.Head() || known && chain != p.Digest().Chain() {
+	if known && chain != p.Digest().Chain() {
 		return empty
 	}
-	if known {
+	if !m.rules.States(uint64(head), uint64(own.Head()), known) {
 		items := m.holding.since(head, m.settings.AnswerBytes)
 		return message.NewAnswer(p.Nonce(), m.join.done, message.NewEntries(head, chain, items, own, m.statement(now)))
 	}
--- a/relay/rules.go
+++ b/relay/rules.go
@@ -18,6 +18,8 @@
 	Confirms func(known bool, head, next uint64, age, limit time.Duration) bool
 	// Offers tells whether what peers offer suffices to serve without the log.
 	Offers func(enough, logDown bool) bool
+	// States tells whether a peer with head asked gets the whole state of one with head held.
+	States func(asked, held uint64, known bool) bool
 	// Repairs tells whether a node pulls from a peer that it knows to be ahead.
 	Repairs func() bool
 }
@@ -33,6 +35,7 @@
 			return known && age <= limit && head >= next
 		},
 		Offers:  func(enough, logDown bool) bool { return enough && logDown },
+		States:  func(asked, held uint64, known bool) bool { return asked < held && !known },
 		Repairs: func() bool { return true },
 	}
 }
