--- /dev/null
+++ b/control/herd_test.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// herd measures nodes that restart at once.
+type herd struct {
+	net      *network
+	joined   []time.Duration // since the restart, of each node that restarted
+	reads    int             // reads of the configuration in the worst second
+	most     int             // bytes sent by one node in its worst second
+	received int             // bytes received by all
+}
+
+// fillLog appends changes straight to the log, a small configuration that has been edited many times.
+func fillLog(t testing.TB, w *network, changes int) {
+	for i := range changes {
+		name := "service-" + string(rune('a'+i%16))
+		cs := record.NewChangeSet(testPublish(i), "operator", record.Version(w.log.next()), []record.Record{
+			record.NewService(record.Schema1, name, i+1),
+			record.NewRoute(name+"-"+string(rune('a'+i%13)), "/"+name+"/"+string(rune('a'+i%13)), name, true),
+		}, nil)
+		data, err := codec.EncodeChange(cs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.log.put(message.StreamConfig, data)
+	}
+}
+
+// restart restarts nodes within 100 ms and runs until all have joined or limit is over.
+func (h *herd) restart(nodes []*testNode, limit time.Duration) bool {
+	w := h.net
+	for _, n := range nodes {
+		n.kill()
+		w.after(time.Duration(w.rnd.Int64N(int64(TickPeriod))), n.start)
+	}
+	begin := w.now
+	pending := slices.Clone(nodes)
+	for w.now.Sub(begin) < limit && len(pending) > 0 {
+		h.second(&pending, begin)
+	}
+	return len(pending) == 0
+}
+
+func (h *herd) second(pending *[]*testNode, begin time.Time) {
+	w := h.net
+	reads := w.log.reads
+	sent := make([]int, len(w.nodes))
+	for i, n := range w.nodes {
+		sent[i] = n.sent.bytes
+		h.received -= n.received.bytes
+	}
+	for range 10 {
+		w.run(100 * time.Millisecond)
+		*pending = slices.DeleteFunc(*pending, func(n *testNode) bool {
+			if n.down || !n.core.Joined() {
+				return false
+			}
+			h.joined = append(h.joined, w.now.Sub(begin))
+			return true
+		})
+	}
+	h.reads = max(h.reads, w.log.reads-reads)
+	for i, n := range w.nodes {
+		h.most = max(h.most, n.sent.bytes-sent[i])
+		h.received += n.received.bytes
+	}
+}
+
+func (h *herd) report(b *testing.B) {
+	slices.Sort(h.joined)
+	b.ReportMetric(float64(len(h.joined)), "joined")
+	if len(h.joined) > 0 {
+		b.ReportMetric(quantile(h.joined, 0.5)/1000, "s-median")
+		b.ReportMetric(quantile(h.joined, 0.99)/1000, "s-p99")
+		b.ReportMetric(quantile(h.joined, 1)/1000, "s-max")
+	}
+	b.ReportMetric(float64(h.reads), "log-reads/s-max")
+	b.ReportMetric(float64(h.most), "B/s-sent-max")
+	b.ReportMetric(float64(h.received)/float64(len(h.net.nodes)), "B-received/node")
+}
+
+const herdNodes = 580
+
+func herdNetwork(b *testing.B) *network {
+	w := newTestNetwork(7, herdNodes)
+	fillLog(b, w, 400)
+	w.start(2 * time.Second)
+	if !w.runUntil(60*time.Second, w.allJoined) {
+		b.Fatal("not all nodes joined within 60 s")
+	}
+	w.run(10 * time.Second)
+	return w
+}
+
+// BenchmarkRejoin measures how 580 nodes come back at once: all of them with the log up; 560 of them
+// with the log down; all of them with the log down, which has to come back first.
+func BenchmarkRejoin(b *testing.B) {
+	b.Run("log=up", func(b *testing.B) {
+		for b.Loop() {
+			h := &herd{net: herdNetwork(b)}
+			h.restart(h.net.nodes, 60*time.Second)
+			h.report(b)
+		}
+	})
+	b.Run("log=down", func(b *testing.B) {
+		for b.Loop() {
+			h := &herd{net: herdNetwork(b)}
+			h.net.log.outage = true
+			h.net.run(15 * time.Second)
+			h.restart(h.net.nodes[20:], 120*time.Second)
+			h.report(b)
+		}
+	})
+	b.Run("log=down-no-survivor", func(b *testing.B) {
+		for b.Loop() {
+			h := &herd{net: herdNetwork(b)}
+			h.net.log.outage = true
+			if h.restart(h.net.nodes, 40*time.Second) {
+				b.Fatal("nodes serve though no state is left")
+			}
+			h.net.log.up()
+			pending := slices.Clone(h.net.nodes)
+			for begin := h.net.now; h.net.now.Sub(begin) < 60*time.Second && len(pending) > 0; {
+				h.second(&pending, begin)
+			}
+			h.report(b)
+		}
+	})
+}
--- a/control/log_test.go
+++ b/control/log_test.go
@@ -30,10 +30,11 @@
 	refuse  bool
 	lostAck float64 // share of appends that are applied but not acknowledged
 	cut     func(n *testNode) bool
-	keep    int // entries kept per stream, 0 for all
-	reads   int // of the configuration
-	appends int // of the configuration
-	upSince time.Time
+	keep    int       // entries kept per stream, 0 for all
+	reads   int       // of the configuration
+	appends int       // of the configuration
+	isCut   bool      // some nodes are cut from the log
+	upSince time.Time // end of the last outage or cut
 
 	appended func(e record.Entry) // sees every entry of the configuration
 }
@@ -190,6 +191,15 @@
 	l.outage = false
 }
 
+// reconnect ends all cuts between the log and nodes.
+func (l *testLog) reconnect() {
+	if l.isCut {
+		l.upSince = l.net.now
+	}
+	l.isCut = false
+	l.cut = func(*testNode) bool { return false }
+}
+
 // trimCovered drops the entries that the newest whole checkpoint covers.
 func (l *testLog) trimCovered() {
 	s := l.stream(message.StreamConfig)
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -101,6 +101,7 @@
 	s.note("split")
 	s.net.cut = func(a, b *testNode) bool { return a.place.Region() != b.place.Region() }
 	if rapid.Bool().Draw(s.t, "log too") {
+		s.net.log.isCut = true
 		s.net.log.cut = func(n *testNode) bool { return n.place.Region() != logRegion }
 	}
 }
@@ -108,7 +109,7 @@
 func (s *schedule) mend() {
 	s.note("mend")
 	s.net.cut = func(_, _ *testNode) bool { return false }
-	s.net.log.cut = func(*testNode) bool { return false }
+	s.net.log.reconnect()
 }
 
 func (s *schedule) noise() {
--- /dev/null
+++ b/wire/distribution_test.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+var (
+	distributionKey  = member.NewKey(netip.MustParseAddrPort("10.1.2.3:7000"), 99)
+	distributionFrom = member.NewKey(netip.MustParseAddrPort("[fd00::1]:7001"), 5)
+)
+
+func distributionMessages() []message.Peer {
+	digest := message.NewDigest(7, 9, 0xfeedfacecafebeef)
+	items := []record.Entry{record.NewEntry(8, []byte("one")), record.NewEntry(9, []byte{})}
+	empty := message.NewEntries(9, 0xfeedfacecafebeef, nil, digest, message.NewSilence(true))
+	full := message.NewEntries(8, 3, items, digest, message.NewStatement(10, 1500*time.Millisecond, true))
+	census := message.NewCensus("east", []message.VersionCount{message.NewVersionCount(7, 579), message.NewVersionCount(6, 1)},
+		[]message.Laggard{message.NewLaggard(distributionKey, 6)}, time.Time{})
+	return []message.Peer{
+		message.NewPush(distributionKey, 4, message.NewSpan(0, ^uint64(0)), full, []message.Census{census}),
+		message.NewPush(member.Key{}, 4, message.NewSpan(17, 1<<60), empty, nil),
+		message.NewReport(distributionKey, 4, digest, census),
+		message.NewReport(member.Key{}, 4, digest, message.Census{}),
+		message.NewPull(1<<63, digest),
+		message.NewAnswer(1, true, full),
+		message.NewAnswer(1, false, empty).WithBusy(),
+		message.NewAnswer(1, true, empty).WithState([]byte("state")),
+	}
+}
+
+func TestDistributionMessagesRoundTrip(t *testing.T) {
+	for _, body := range distributionMessages() {
+		frame, err := Encode("f", distributionFrom, body)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		env, err := Decode("f", frame)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, env.From(), quicktest.Equals, distributionFrom)
+		again, err := Encode("f", distributionFrom, env.Body())
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, again, quicktest.DeepEquals, frame)
+	}
+}
+
+func TestDistributionFieldsSurvive(t *testing.T) {
+	frame, err := Encode("f", distributionFrom, distributionMessages()[0])
+	quicktest.Assert(t, err, quicktest.IsNil)
+	env, err := Decode("f", frame)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	push := env.Body().(message.Push)
+	quicktest.Check(t, push.Span(), quicktest.Equals, message.NewSpan(0, ^uint64(0)))
+	quicktest.Check(t, push.Entries().Items()[1].Offset(), quicktest.Equals, record.Offset(9))
+	quicktest.Check(t, string(push.Entries().Items()[0].Data()), quicktest.Equals, "one")
+	quicktest.Check(t, push.Entries().Statement(), quicktest.Equals, message.NewStatement(10, 1500*time.Millisecond, true))
+	quicktest.Check(t, push.Census()[0].Counts()[0].Nodes(), quicktest.Equals, 579)
+}
+
+func TestCutDistributionFramesAreMalformed(t *testing.T) {
+	for _, body := range distributionMessages() {
+		frame, err := Encode("f", distributionFrom, body)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		for end := range frame {
+			_, err := Decode("f", frame[:end])
+			quicktest.Check(t, err, quicktest.IsNotNil)
+		}
+	}
+}
+
+func FuzzDistribution(f *testing.F) {
+	for _, body := range distributionMessages() {
+		frame, err := Encode("f", distributionFrom, body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		env, err := Decode("f", frame)
+		if err != nil {
+			return
+		}
+		again, err := Encode("f", env.From(), env.Body())
+		if err != nil {
+			t.Fatalf("a decoded %T cannot be encoded: %v", env.Body(), err)
+		}
+		if _, err := Decode("f", again); err != nil {
+			t.Fatalf("an encoded %T cannot be decoded: %v", env.Body(), err)
+		}
+	})
+}
