--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -78,6 +78,19 @@
 	c.Assert(spread(m, later, view, 1), qt.DeepEquals, map[member.Key]int{key(1): 1}, qt.Commentf("the load is old"))
 }
 
+func TestPromisedCallsSpread(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	view := viewOf(ready(1, here), ready(2, here))
+	counts := make(map[member.Key]int)
+	for range 40 {
+		got, _ := m.Choose(start, view, "orders", nil)
+		m.Promised(start, got.Key())
+		counts[got.Key()]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[member.Key]int{key(1): 20, key(2): 20})
+}
+
 func TestDrainingAndRefusingServersAreAvoided(t *testing.T) {
 	c := qt.New(t)
 	for _, result := range []Result{ResultDraining, ResultRefused} {
--- a/balance/report.go
+++ b/balance/report.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// Promised records that a call to a server will follow soon, as when a request key is issued. It counts
+// like a load carried back, so it fades should the call not come.
+func (m *Machine) Promised(now time.Time, key member.Key) {
+	t, ok := m.targets[key]
+	if !ok {
+		return
+	}
+	if now.Sub(t.carriedAt) >= loadMemory {
+		t.carried = 0
+		t.carriedAt = now
+	}
+	t.carried++
+}
+
 // Ended records the end of a call for which Started was called.
 func (m *Machine) Ended(now time.Time, key member.Key, result Result) {
 	t, ok := m.targets[key]
