--- a/recordfile/recordfile_test.go
+++ b/recordfile/recordfile_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/recordfile"
@@ -22,7 +23,6 @@
 	qt.Check(t, base, qt.Equals, record.Version(0))
 	c := f.ChangeSet(record.PublishID{1}, "ana", 7)
 	qt.Check(t, c.Base(), qt.Equals, record.Version(7))
-	qt.Check(t, c.Level(), qt.Equals, record.Schema2)
 	found := make(map[record.ID]record.Record)
 	for _, r := range c.Puts() {
 		found[r.ID()] = r
@@ -34,7 +34,20 @@
 	qt.Check(t, commission.Schema(), qt.Equals, record.Schema2)
 	qt.Check(t, commission.Idempotent(), qt.IsFalse)
 	qt.Check(t, commission.Objective(), qt.Equals, record.NewObjective(0.999, 800*time.Millisecond))
-	qt.Check(t, c.Removes(), qt.HasLen, 1)
+}
+
+func TestChange(t *testing.T) {
+	f, err := recordfile.Load("../doc/examples/change.toml")
+	qt.Assert(t, err, qt.IsNil)
+	base, hasBase := f.Base()
+	qt.Check(t, hasBase, qt.IsTrue)
+	qt.Check(t, base, qt.Equals, record.Version(1))
+	qt.Check(t, f.Removes(), qt.CmpEquals(cmp.AllowUnexported(record.ID{})), []record.ID{
+		record.NewID(record.KindRoute, "commission"), record.NewID(record.KindResource, "deposits"),
+	})
+	raised, err := recordfile.Parse("f", []byte("level = 3"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, raised.ChangeSet(record.PublishID{1}, "ana", 7).Level(), qt.Equals, record.Schema(3))
 }
 
 func TestFaults(t *testing.T) {
