--- a/demo/tour.go
+++ b/demo/tour.go
@@ -10,6 +10,9 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/bambooknot/bambooknot/rig"
 )
 
@@ -42,14 +45,15 @@
 		{"call every route through every region", t.callAll},
 		{"show the status", func() error { return t.show("status") }},
 		{"publish a change and watch it take effect", t.applyChange},
-		{"drain one server under calls", t.drain},
 		{"report the service-level burn", func() error { return t.show("report", "burn") }},
+		{"drain one server under calls", t.drain},
 		{"stop the nodes", t.stop},
 	} {
-		fmt.Println("==", s.name)
+		begin := time.Now()
 		if err := s.run(); err != nil {
 			return fmt.Errorf("%s: %w", s.name, err)
 		}
+		fmt.Printf("== %s: done in %s\n", s.name, time.Since(begin).Round(time.Millisecond))
 	}
 	fmt.Printf("demo passed: 2 publishes in force on %d nodes, %d calls answered, 1 server drained\n", t.fleet.Size(), t.calls)
 	return nil
@@ -62,13 +66,18 @@
 	return rig.Until(readyTimeout, t.fleet.AllReady)
 }
 
+// publish publishes a file through the first node and watches it take effect from the last.
 func (t *tour) publish(file string) error {
-	out, err := t.fleet.Operate(0, "publish", file, "--operator", "demo")
+	id, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	out, err := t.fleet.Operate(0, "publish", file, "--operator", "demo", "--publish-id", id.String())
 	fmt.Print(out)
 	if err != nil {
 		return err
 	}
-	out, err = t.fleet.Operate(t.fleet.Size()-1, "watch", "--timeout", watchTimeout)
+	out, err = t.fleet.Operate(t.fleet.Size()-1, "watch", "--publish-id", id.String(), "--timeout", watchTimeout)
 	fmt.Print(out)
 	return err
 }
@@ -224,14 +233,19 @@
 	return total, err
 }
 
+// stop stops all nodes at once.
 func (t *tour) stop() error {
+	var group errgroup.Group
 	for i := range t.fleet.Size() {
 		if i == drained {
 			continue
 		}
-		if err := t.fleet.Node(i).Stop(); err != nil {
-			return fmt.Errorf("node %d: %w\n%s", i, err, t.fleet.Node(i).Output())
-		}
+		group.Go(func() error {
+			if err := t.fleet.Node(i).Stop(); err != nil {
+				return fmt.Errorf("node %d: %w\n%s", i, err, t.fleet.Node(i).Output())
+			}
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
--- a/relay/push.go
+++ b/relay/push.go
@@ -73,7 +73,7 @@
 	far := message.NewPush(member.Key{}, push.Seq(), wholeSpan, push.Entries(), census)
 	for _, region := range m.plan.regions {
 		if region != m.self.Place().Region() {
-			m.deliver(now, delivery{push: far, region: region, candidates: m.plan.ranked[region]})
+			m.deliver(now, delivery{push: far, region: region, candidates: m.plan.first(region, m.settings.PushTries)})
 		}
 	}
 }
@@ -194,11 +194,12 @@
 func (m *Machine) take(now time.Time, from netip.AddrPort, entries message.Entries) bool {
 	before := m.holding.state.Head()
 	chain, ok := m.holding.chainAt(entries.Base())
-	if ok && chain != entries.Chain() {
+	continues := m.rules.Continues(ok, chain, entries.Chain())
+	if ok && !continues {
 		m.sayUnequal()
 		return false
 	}
-	if ok {
+	if continues {
 		m.fold(now, entries.Items())
 	}
 	m.observe(now, from, entries.Digest())
