operator, metric: carry every field of a status

Cause: the status has two new fields that the operators' port left out. Change: they are carried, shown and made gauges. The round trip compares the whole status, and a test fails when the sample leaves a field empty.

--- a/metric/fleet.go
+++ b/metric/fleet.go
@@ -26,6 +26,8 @@
 	f.scope.Gauge(ConfigVersion).Update(float64(s.Digest().Version()))
 	f.scope.Gauge(ConfigHead).Update(float64(s.Digest().Head()))
 	f.scope.Gauge(ConfigNeedSchema).Update(float64(s.NeedLevel()))
+	f.scope.Gauge(ConfigUnequal).Update(float64(s.Unequal()))
+	f.scope.Gauge(ConfigUnconfirmed).Update(truth(s.Unconfirmed()))
 	f.scope.Gauge(LogFault).Update(truth(s.LogFault() != nil))
 	f.scope.Gauge(NodeServing).Update(truth(s.Stage() == message.StageServing))
 	if !s.LogSeen().IsZero() {
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -50,7 +50,7 @@
 	scope := tally.NewTestScope("", nil)
 	fleet := metric.NewFleet(scope)
 	fleet.Record(now, message.NewStatus(message.StatusFields{
-		Stage: message.StageServing, Digest: message.NewDigest(7, 9, 1), LogSeen: now.Add(-3 * time.Second),
+		Stage: message.StageServing, Digest: message.NewDigest(7, 9, 1), LogSeen: now.Add(-3 * time.Second), Unconfirmed: true, Unequal: 4,
 		Members: []member.Member{self, self.WithHealth(member.HealthDead)},
 		Census: []message.Census{
 			census("jadran", message.NewVersionCount(7, 2)),
@@ -66,6 +66,8 @@
 		metric.ConfigVersion + "+":                  7,
 		metric.ConfigHead + "+":                     9,
 		metric.ConfigNeedSchema + "+":               0,
+		metric.ConfigUnequal + "+":                  4,
+		metric.ConfigUnconfirmed + "+":              1,
 		metric.LogFault + "+":                       0,
 		metric.LogSilence + "+":                     3,
 		metric.NodeServing + "+":                    1,
--- a/metric/names.go
+++ b/metric/names.go
@@ -28,6 +28,11 @@
 	ConfigHead = "config_head"
 	// ConfigNeedSchema is the schema that the node's binary lacks to go on folding, 0 if none.
 	ConfigNeedSchema = "config_need_schema"
+	// ConfigUnequal counts contents that the node refused because they contradict what it has folded.
+	ConfigUnequal = "config_unequal"
+	// ConfigUnconfirmed is 1 while the node serves what its peers offered without having heard where the
+	// log ends, else 0.
+	ConfigUnconfirmed = "config_unconfirmed"
 	// LogFault is 1 if the log could not be read last, 0 if it could.
 	LogFault = "log_fault"
 	// LogSilence is the time in seconds since the log, or a peer that reads it, was heard of.
--- a/operator/codec_status.go
+++ b/operator/codec_status.go
@@ -16,6 +16,7 @@
 		Stage: string(s.Stage()), Self: toWireMember(s.Self()), Digest: toWireDigest(s.Digest()),
 		Level: uint16(s.Level()), LogSeen: s.LogSeen(), NeedLevel: uint16(s.NeedLevel()),
 		Roles: append([]string{}, s.Roles()...), Members: []wireMember{}, Census: []wireCensus{},
+		Unconfirmed: s.Unconfirmed(), Unequal: s.Unequal(),
 	}
 	if s.LogFault() != nil {
 		w.LogFault = s.LogFault().Error()
@@ -43,6 +44,7 @@
 		Stage: message.Stage(w.Stage), Self: self, Level: record.Schema(w.Level),
 		Digest:   message.NewDigest(record.Version(w.Digest.Version), record.Offset(w.Digest.Head), w.Digest.Chain),
 		LogFault: textError(w.LogFault), LogSeen: w.LogSeen, Roles: w.Roles, NeedLevel: record.Schema(w.NeedLevel),
+		Unconfirmed: w.Unconfirmed, Unequal: w.Unequal,
 	}
 	for _, wm := range w.Members {
 		m, err := fromWireMember(wm)
--- a/operator/port_test.go
+++ b/operator/port_test.go
@@ -63,7 +63,7 @@
 	return message.NewStatus(message.StatusFields{
 		Stage: message.StageServing, Self: self, Digest: message.NewDigest(7, 9, 1<<63+5), Level: 2,
 		LogFault: errors.New("log down"), LogSeen: then, Roles: []string{"log reader"},
-		Members: []member.Member{self, other}, NeedLevel: 3,
+		Members: []member.Member{self, other}, NeedLevel: 3, Unconfirmed: true, Unequal: 4,
 		Census: []message.Census{message.NewCensus("jadran",
 			[]message.VersionCount{message.NewVersionCount(7, 2), message.NewVersionCount(5, 1)},
 			[]message.Laggard{message.NewLaggard(key, 5)}, then)},
@@ -119,15 +119,15 @@
 	client, _, _ := startPort(t, &fakeNode{}, fleet)
 	got, err := client.Status(t.Context())
 	qt.Assert(t, err, qt.IsNil)
-	want := sampleStatus()
-	qt.Check(t, got.LogFault(), qt.ErrorMatches, "log down")
-	qt.Check(t, reflect.DeepEqual(got.Members(), want.Members()), qt.IsTrue)
-	qt.Check(t, reflect.DeepEqual(got.Self(), want.Self()), qt.IsTrue)
-	qt.Check(t, reflect.DeepEqual(got.Census(), want.Census()), qt.IsTrue)
-	qt.Check(t, got.Digest(), qt.Equals, want.Digest())
-	qt.Check(t, got.NeedLevel(), qt.Equals, want.NeedLevel())
-	qt.Check(t, got.LogSeen().Equal(want.LogSeen()), qt.IsTrue)
-	qt.Check(t, got.Roles(), qt.DeepEquals, want.Roles())
+	qt.Assert(t, reflect.DeepEqual(got, sampleStatus()), qt.IsTrue, qt.Commentf("\ngot  %+v\nwant %+v", got, sampleStatus()))
+}
+
+// TestSampleStatusIsWhole checks that the round trip covers every field.
+func TestSampleStatusIsWhole(t *testing.T) {
+	v := reflect.ValueOf(sampleStatus())
+	for i := range v.NumField() {
+		qt.Check(t, v.Field(i).IsZero(), qt.IsFalse, qt.Commentf("%s", v.Type().Field(i).Name))
+	}
 }
 
 func TestOutcomeRecordsDrain(t *testing.T) {
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -89,6 +89,9 @@
 	Members   []wireMember `json:"members"`
 	Census    []wireCensus `json:"census"`
 	NeedLevel uint16       `json:"need_level,omitempty"`
+
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	Unequal     int  `json:"unequal,omitempty"`
 }
 
 type wireKey struct {
--- a/query/status.go
+++ b/query/status.go
@@ -74,6 +74,12 @@
 	if s.NeedLevel() > 0 {
 		fmt.Fprintf(w, "UPGRADE\tthis node lacks schema %d and holds its version until it is upgraded\n", s.NeedLevel())
 	}
+	if s.Unequal() > 0 {
+		fmt.Fprintf(w, "UNEQUAL\t%d contents contradicted what this node has folded and were refused\n", s.Unequal())
+	}
+	if s.Unconfirmed() {
+		fmt.Fprintf(w, "unconfirmed\tthis node serves what its peers hold and has not heard yet where the log ends\n")
+	}
 	fmt.Fprintf(w, "log\t%s\n", describeLog(now, s))
 	fmt.Fprintf(w, "members\t%s\n", describeHealth(s.Members()))
 	for _, c := range s.Census() {
