call: give a stalled server up for another after half of the time

Hedging was ruled out: it would send more of what is slow because it is loaded.

TestDeadlineEndsInUnknown resumed the stalled server before the owner's own deadline had surely passed and then got the true answer of the one execution; it waits for the owner to give up now.

--- a/call/attempt.go
+++ b/call/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -14,8 +16,13 @@
 	maxAttempts = 3
 	// hopMargin is the time that an ingress keeps for itself, so that it hears its owner's own refusal.
 	hopMargin = 2 * time.Millisecond
+	// minAttempt is the shortest time after which an attempt is given up for another one. It is longer than
+	// a call waits in an owner's queue, so that overload does not look like a stalled server.
+	minAttempt = 200 * time.Millisecond
 )
 
+var errSlow = errors.New("no answer in half of the time")
+
 // attempt is the result of forwarding a call once: an answer to be passed on, or a refusal.
 type attempt struct {
 	resp  *http.Response
@@ -35,7 +42,7 @@
 		if !ok {
 			break
 		}
-		a := i.forward(ctx, q, m.Key())
+		a := i.forwardBounded(ctx, q, m.Key(), len(tried))
 		if a.resp != nil {
 			i.pass(q, m.Key(), a.resp, good)
 			return nil
@@ -70,6 +77,42 @@
 	return i.takeRetry(q.route.Service())
 }
 
+// forwardBounded forwards a call that may run more than once. While another attempt may follow, a server
+// that does not begin to answer in half of the time left is given up.
+func (i *Ingress) forwardBounded(ctx context.Context, q *request, owner member.Key, before int) attempt {
+	half := q.deadline.Sub(i.settings.Timers.Now()) / 2
+	if before+1 >= maxAttempts || q.noRetry || !q.body.whole() || half < minAttempt {
+		return i.forward(ctx, q, owner)
+	}
+	bounded, cancel := context.WithCancelCause(ctx)
+	alarm := i.settings.Timers.After(half, func(time.Time) { cancel(errSlow) })
+	a := i.forward(bounded, q, owner)
+	alarm.Close()
+	if a.resp == nil {
+		slow := context.Cause(bounded) == errSlow
+		cancel(nil)
+		if slow && a.fault.reason == ReasonBroken {
+			a.fault = unknown(ReasonSlow, "the backend server did not begin to answer in half of the time")
+		}
+		return a
+	}
+	a.resp.Body = cancelBody{ReadCloser: a.resp.Body, cancel: cancel}
+	return a
+}
+
+// cancelBody ends the context of an answer when its body is closed.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
 // forward sends a call to its owner node once.
 func (i *Ingress) forward(ctx context.Context, q *request, owner member.Key) attempt {
 	var sent SendTrace
@@ -104,7 +147,7 @@
 		return balance.ResultDraining
 	case ReasonFull, ReasonShed:
 		return balance.ResultRefused
-	case ReasonUnreachable, ReasonBroken, ReasonDeadline:
+	case ReasonUnreachable, ReasonBroken, ReasonDeadline, ReasonSlow:
 		if ctx.Err() != nil && !deadlinePassed(ctx) {
 			return balance.ResultNone
 		}
--- a/call/body.go
+++ b/call/body.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -113,13 +114,23 @@
 	})
 }
 
+// copyBuffers holds buffers of copyBuffer bytes.
+var copyBuffers = sync.Pool{New: func() any {
+	buf := make([]byte, copyBuffer)
+	return &buf
+}}
+
+const copyBuffer = 16 << 10
+
 // errBroken: an answer ended before its end.
 var errBroken = errors.New("the answer broke off")
 
 // stream copies an answer's body. An error means that the answer given is not whole.
 func stream(w http.ResponseWriter, resp *http.Response) error {
 	if resp.ContentLength >= 0 {
-		if _, err := io.Copy(w, resp.Body); err != nil {
+		buf := copyBuffers.Get().(*[]byte)
+		defer copyBuffers.Put(buf)
+		if _, err := io.CopyBuffer(w, resp.Body, *buf); err != nil {
 			return errors.Join(errBroken, err)
 		}
 		return nil
@@ -130,11 +141,12 @@
 // streamFlushing passes on each part of a body of unknown length as it comes.
 func streamFlushing(w http.ResponseWriter, body io.Reader) error {
 	flush := http.NewResponseController(w)
-	buf := make([]byte, 8<<10)
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(*buf)
 		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
 				return errors.Join(errBroken, werr)
 			}
 		}
--- a/call/failure_test.go
+++ b/call/failure_test.go
@@ -333,6 +333,17 @@
 	}
 }
 
+func TestStalledServerIsGivenUpForAnother(t *testing.T) {
+	f := newFleet(t, 2, standin.ServerSettings{Slots: 4})
+	stalled := f.nodes[0]
+	resume := stalled.server.Stall()
+	defer resume()
+	for range 6 {
+		f.c.Assert(f.do("GET", "/browse", "", HeaderTimeout, "3000").outcome, qt.Equals, OutcomeAnswered)
+	}
+	eventually(f.c, "the stalled calls are cancelled", func() bool { return stalled.server.Running() == 0 })
+}
+
 func TestCancellationReachesServerUnlessKeyed(t *testing.T) {
 	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
 	n := f.nodes[0]
@@ -366,6 +377,7 @@
 	got := f.do("POST", "/short", "x", HeaderKey, key)
 	f.c.Assert(got.outcome, qt.Equals, OutcomeUnknown)
 	f.c.Assert(got.reason, qt.Equals, ReasonDeadline)
+	eventually(f.c, "the owner gives up too", func() bool { return n.server.Running() == 0 })
 	resume()
 	f.c.Assert(f.do("POST", "/short", "x", HeaderKey, key).outcome, qt.Equals, OutcomeUnknown)
 	f.c.Assert(f.executions(key), qt.Equals, 1)
--- a/call/header.go
+++ b/call/header.go
@@ -73,6 +73,7 @@
 const (
 	ReasonBroken    Reason = "broken"     // the connection broke after the call was sent
 	ReasonDeadline  Reason = "deadline"   // no answer before the deadline
+	ReasonSlow      Reason = "slow"       // no answer in half of the time, and no attempt more
 	ReasonOwnerGone Reason = "owner-gone" // the node that the key names is not there
 	ReasonForgotten Reason = "forgotten"  // the key is expired, or its answer is no longer kept
 )
