--- a/relay/read.go
+++ b/relay/read.go
@@ -134,7 +134,24 @@
 	m.known.learn(now, m.log.asked, s)
 	m.join.confirm(m.log.asked, page.Next())
 	m.announce(now, digest, page.Entries())
-	if m.log.active && (len(page.Entries()) > 0 || now.Sub(m.log.asked) > m.settings.ReadWait/2) {
+	m.readOn(now, len(page.Entries()) > 0)
+}
+
+// quickRead is the pause of the first readers after a log answered at once that there is nothing,
+// though it was asked to wait.
+const quickRead = 250 * time.Millisecond
+
+// readOn orders the next read at once, unless the log does not hold reads open.
+func (m *Machine) readOn(now time.Time, found bool) {
+	if !found && now.Sub(m.log.asked) < m.settings.ReadWait/2 {
+		pause := m.settings.ReadWait
+		if place := m.place(); place >= 0 && place < standbyPlaces {
+			pause = quickRead
+		}
+		m.log.notBefore = now.Add(pause)
+		return
+	}
+	if m.log.active {
 		m.readLog(now)
 	}
 }
