--- a/control/network_test.go
+++ b/control/network_test.go
@@ -12,6 +12,7 @@
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/relay"
+	"github.com/bambooknot/bambooknot/timer"
 	"github.com/bambooknot/bambooknot/wire"
 )
 
@@ -31,6 +32,8 @@
 
 // network runs Cores in virtual time: one queue of events in order of time, seeded faults.
 type network struct {
+	clock  *timer.Service // measures the time that cores take, or nil
+	busy   time.Duration
 	now    time.Time
 	seq    uint64
 	queue  eventQueue
@@ -186,7 +189,7 @@
 			return
 		}
 		if !n.paused {
-			n.do(n.core.Tick(w.now))
+			n.do(n.timed(func() []message.Action { return n.core.Tick(w.now) }))
 		}
 		w.after(TickPeriod, tick)
 	}
@@ -224,11 +227,21 @@
 			}
 			return
 		}
-		n.do(run())
+		n.do(n.timed(run))
 	}
 	n.net.after(d, deliver)
 }
 
+// timed adds the time that an event takes to the network's total, if there is a clock.
+func (n *testNode) timed(run func() []message.Action) []message.Action {
+	if n.net.clock == nil {
+		return run()
+	}
+	begin := n.net.clock.Now()
+	defer func() { n.net.busy += n.net.clock.Now().Sub(begin) }()
+	return run()
+}
+
 func (n *testNode) do(actions []message.Action) {
 	if n.net.observe != nil {
 		n.net.observe(n)
--- a/message/distribution.go
+++ b/message/distribution.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/bambooknot/bambooknot/member"
@@ -177,6 +178,7 @@
 	busy    bool
 	entries Entries
 	state   []byte
+	peers   []netip.AddrPort
 }
 
 // NewAnswer returns the answer with entries, which may be none. serving tells whether the sender serves
@@ -197,6 +199,12 @@
 	return a
 }
 
+// WithPeers returns a copy that names nodes which serve, for a receiver that joins. It keeps the slice.
+func (a Answer) WithPeers(peers []netip.AddrPort) Answer {
+	a.peers = peers
+	return a
+}
+
 // Peer implements Peer.
 func (Answer) Peer() {}
 
@@ -214,3 +222,6 @@
 
 // State returns the whole state, or nil. The caller must not change it.
 func (a Answer) State() []byte { return a.state }
+
+// Peers returns some nodes that serve, if the sender does not. The caller must not change it.
+func (a Answer) Peers() []netip.AddrPort { return a.peers }
--- a/relay/join.go
+++ b/relay/join.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bambooknot/bambooknot/member"
@@ -17,8 +20,15 @@
 	next   record.Offset // end of the log as of readAt
 	readAt time.Time     // zero if unknown
 	offers map[netip.AddrPort]offer
+	toAsk  []netip.AddrPort // nodes said to serve that have not been asked lately
 }
 
+// referrals is the number of serving nodes that one answer names, and askLimit that of those remembered.
+const (
+	referrals = 4
+	askLimit  = 16
+)
+
 // offer is what a serving peer holds.
 type offer struct {
 	digest message.Digest
@@ -42,6 +52,39 @@
 	j.offers[peer] = o
 }
 
+// refer takes the names of nodes that serve. Without the log, a node that joins needs to hear several,
+// and finds few by chance when most of the fleet has restarted.
+func (j *joiner) refer(peers []netip.AddrPort) {
+	if j.done {
+		return
+	}
+	for _, peer := range peers {
+		if _, heard := j.offers[peer]; !heard && !slices.Contains(j.toAsk, peer) && len(j.toAsk) < askLimit {
+			j.toAsk = append(j.toAsk, peer)
+		}
+	}
+}
+
+// nextToAsk takes a node to ask from those referred to, or returns zero.
+func (j *joiner) nextToAsk() netip.AddrPort {
+	if j.done || len(j.toAsk) == 0 {
+		return netip.AddrPort{}
+	}
+	peer := j.toAsk[0]
+	j.toAsk = j.toAsk[1:]
+	return peer
+}
+
+// serving returns some nodes that serve, as far as a node that joins knows, in random order.
+func (j *joiner) serving(rnd *rand.Rand) []netip.AddrPort {
+	if j.done {
+		return nil
+	}
+	peers := slices.SortedFunc(maps.Keys(j.offers), netip.AddrPort.Compare)
+	rnd.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	return peers[:min(len(peers), referrals)]
+}
+
 // decideJoin applies the rule by which a node starts to serve. With the log up it has folded up to the
 // end that the log had a short time ago. With the log down it holds as much as any peer offers, where
 // the offers come from a log reader or from enough peers in enough failure domains.
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -76,6 +76,9 @@
 	if p.ahead.IsValid() && p.ahead != p.avoid {
 		return p.ahead
 	}
+	if peer := m.join.nextToAsk(); peer.IsValid() && peer != m.self.Key().Peer() {
+		return peer
+	}
 	if len(m.plan.ring) > 0 && m.rnd.IntN(4) > 0 {
 		return m.plan.ring[m.rnd.IntN(len(m.plan.ring))].peer
 	}
@@ -138,6 +141,7 @@
 	if s.Up() && now.Sub(sent)+s.Age() < m.settings.StatementAge && m.calms(from.Peer()) {
 		m.known.heardAt = laterOf(m.known.heardAt, sent.Add(-s.Age()))
 	}
+	m.join.refer(a.Peers())
 	if a.Serving() {
 		m.join.offer(from.Peer(), offer{digest: a.Entries().Digest(), at: now})
 	}
@@ -186,7 +190,11 @@
 
 func (m *Machine) receivePull(now time.Time, from member.Key, p message.Pull) {
 	m.observe(now, from.Peer(), p.Digest())
-	m.send(from.Peer(), m.answer(now, p))
+	a := m.answer(now, p)
+	if !m.join.done {
+		a = a.WithPeers(m.join.serving(m.rnd))
+	}
+	m.send(from.Peer(), a)
 }
 
 func (m *Machine) answer(now time.Time, p message.Pull) message.Answer {
--- a/wire/distribution.go
+++ b/wire/distribution.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,6 +26,7 @@
 	maxItems      = 1024
 	maxCensuses   = 16
 	maxCensusRows = 64
+	maxPeers      = 8
 	maxReport     = 4 << 10 // bytes
 )
 
@@ -116,6 +118,7 @@
 	Busy    bool        `cbor:"3,keyasint,omitempty"`
 	Entries entriesWire `cbor:"4,keyasint"`
 	State   []byte      `cbor:"5,keyasint,omitempty"`
+	Peers   [][]byte    `cbor:"6,keyasint,omitempty"`
 }
 
 func toDigest(d message.Digest) digestWire {
@@ -310,6 +313,13 @@
 func encodeAnswer(body message.Peer) ([]byte, error) {
 	a := body.(message.Answer)
 	w := answerWire{Nonce: a.Nonce(), Serving: a.Serving(), Busy: a.Busy(), Entries: toEntries(a.Entries()), State: a.State()}
+	for _, p := range a.Peers() {
+		peer, err := p.MarshalBinary()
+		if err != nil {
+			return nil, err
+		}
+		w.Peers = append(w.Peers, peer)
+	}
 	return cbor.Marshal(w)
 }
 
@@ -322,6 +332,10 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := parsePeers(w.Peers)
+	if err != nil {
+		return nil, err
+	}
 	a := message.NewAnswer(w.Nonce, w.Serving, entries)
 	if len(w.State) > 0 {
 		a = a.WithState(w.State)
@@ -329,5 +343,20 @@
 	if w.Busy {
 		a = a.WithBusy()
 	}
-	return a, nil
+	return a.WithPeers(peers), nil
+}
+
+func parsePeers(list [][]byte) ([]netip.AddrPort, error) {
+	if len(list) > maxPeers {
+		return nil, errField
+	}
+	var peers []netip.AddrPort
+	for _, data := range list {
+		peer, err := parsePeer(data)
+		if err != nil {
+			return nil, err
+		}
+		peers = append(peers, peer)
+	}
+	return peers, nil
 }
--- a/wire/distribution_test.go
+++ b/wire/distribution_test.go
@@ -33,6 +33,7 @@
 		message.NewAnswer(1, true, full),
 		message.NewAnswer(1, false, empty).WithBusy(),
 		message.NewAnswer(1, true, empty).WithState([]byte("state")),
+		message.NewAnswer(1, false, empty).WithPeers([]netip.AddrPort{distributionKey.Peer(), distributionFrom.Peer()}),
 	}
 }
 
