--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 	dead          bool
 	paused        bool
 	sent, got     int // bytes
-	seen          map[netip.AddrPort]time.Duration
+	seen          map[netip.AddrPort]member.Member
 	watched       func(n *node) bool
 	watchedAt     time.Duration
 	held          []func()
@@ -58,6 +59,8 @@
 	crossed  int // bytes between regions
 	largest  int // bytes of the largest frame
 	settings Settings
+	change   func(m *Machine) // breaks rules of each machine
+	check    func(n *node)    // looks at each node after its tick
 	logDown  bool
 	entries  []record.Entry
 	appends  int
@@ -103,7 +106,10 @@
 	key := member.NewKey(peerOf(i), member.Incarnation(w.now.Add(n.skew).UnixNano()))
 	self := member.New(key, n.place, 2).WithServer(member.NewServer(fmt.Sprintf("service-%d", i%16), member.ServerReady, 64))
 	m := New(self, w.settings, rand.New(rand.NewPCG(w.rnd.Uint64(), 2)))
-	n.m, n.dead, n.paused = m, false, false
+	if w.change != nil {
+		w.change(m)
+	}
+	n.m, n.dead, n.paused, n.seen = m, false, false, make(map[netip.AddrPort]member.Member)
 	w.after(time.Duration(w.rnd.Int64N(int64(tickPeriod))), func() { w.tick(n, m) })
 }
 
@@ -116,6 +122,9 @@
 		return
 	}
 	w.act(n, m.Tick(w.now.Add(n.skew)))
+	if w.check != nil {
+		w.check(n)
+	}
 	if n.watched != nil && n.watchedAt == 0 && n.watched(n) {
 		n.watchedAt = w.now.Sub(w.start)
 	}
@@ -196,7 +205,7 @@
 
 func (w *network) append(n *node, m *Machine, a message.AppendLog) {
 	w.after(logDelay, func() {
-		var err error = errLogDown
+		err := errLogDown
 		if !w.logDown {
 			err = nil
 			w.appends++
@@ -208,8 +217,10 @@
 	})
 }
 
+// wake ends a pause. The node's timer fires before it reads what has queued up.
 func (w *network) wake(n *node) {
 	n.paused = false
+	w.act(n, n.m.Tick(w.now.Add(n.skew)))
 	held := n.held
 	n.held = nil
 	for _, fn := range held {
@@ -231,14 +242,18 @@
 // runUntil moves the time until ok, at most by limit, and returns how long it took.
 func (w *network) runUntil(limit time.Duration, ok func() bool) time.Duration {
 	from := w.now
-	for w.now.Sub(from) < limit {
-		if ok() {
-			return w.now.Sub(from)
+	qt.Assert(w.t, w.settles(limit, ok), qt.IsTrue, qt.Commentf("not within %v", limit))
+	return w.now.Sub(from)
+}
+
+// settles moves the time until ok, at most by limit, and tells whether it came to that.
+func (w *network) settles(limit time.Duration, ok func() bool) bool {
+	for from := w.now; !ok(); w.run(tickPeriod) {
+		if w.now.Sub(from) >= limit {
+			return false
 		}
-		w.run(tickPeriod)
 	}
-	qt.Assert(w.t, ok(), qt.IsTrue, qt.Commentf("not within %v", limit))
-	return w.now.Sub(from)
+	return true
 }
 
 func (w *network) after(d time.Duration, fn func()) {
@@ -280,7 +295,7 @@
 // formed returns a converged network of n nodes, with the first 3 as hints.
 func formed(t testing.TB, seed uint64, n int, change func(w *network)) *network {
 	w := newNetwork(t, seed)
-	w.settings.Hints = []netip.AddrPort{peerOf(0), peerOf(1), peerOf(2)}
+	w.settings.Hints = hints()
 	if change != nil {
 		change(w)
 	}
@@ -292,6 +307,50 @@
 	return w
 }
 
+func hints() []netip.AddrPort { return []netip.AddrPort{peerOf(0), peerOf(1), peerOf(2)} }
+
+func (w *network) resetBytes() {
+	w.crossed = 0
+	for _, n := range w.nodes {
+		n.sent, n.got = 0, 0
+	}
+}
+
+// crash stops a node and returns how long each other one took to drop it from its view.
+func (w *network) crash(gone *node, limit time.Duration) []time.Duration {
+	gone.dead = true
+	return w.watch(limit, func(n *node) bool { return healthIn(n, gone) == 0 })
+}
+
+// turn changes the state of the server beside n and returns how long each other node took to see it.
+func (w *network) turn(n *node, state member.ServerState) []time.Duration {
+	w.act(n, n.m.SetServer(w.now.Add(n.skew), member.NewServer("service", state, 64)))
+	peer := n.m.Self().Key().Peer()
+	return w.watch(0, func(x *node) bool {
+		m, _ := x.m.View().Member(peer)
+		return m.Server().State() == state
+	})
+}
+
+// watch returns how long each running node took until ok, looking at each of its ticks.
+func (w *network) watch(limit time.Duration, ok func(n *node) bool) []time.Duration {
+	if limit == 0 {
+		limit = time.Minute
+	}
+	from := w.now
+	live := w.live()
+	for _, n := range live {
+		n.watched, n.watchedAt = ok, 0
+	}
+	w.runUntil(limit, func() bool { return !slices.ContainsFunc(live, func(n *node) bool { return n.watchedAt == 0 }) })
+	var all []time.Duration
+	for _, n := range live {
+		all = append(all, n.watchedAt-from.Sub(w.start))
+		n.watched = nil
+	}
+	return all
+}
+
 type event struct {
 	at  time.Time
 	seq int
