--- a/command/remote.go
+++ b/command/remote.go
@@ -38,7 +38,9 @@
 	if err != nil || addr.Port() == 0 {
 		return nil, fmt.Errorf("--node %q: allowed is an IP number with a port, such as 127.0.0.1:7104", node)
 	}
-	return operator.NewClient(addr, a.Fleet, &http.Client{Timeout: a.RequestTimeout}), nil
+	// A transport of its own takes no proxy from the environment: what an operator sends goes to the node.
+	client := &http.Client{Timeout: a.RequestTimeout, Transport: &http.Transport{}}
+	return operator.NewClient(addr, a.Fleet, client), nil
 }
 
 // Context returns the context of one request.
