setting, burn: take defaults from the parts, hide what nobody uses

Change: the section [call] takes its defaults from admission, ledger and retry; sample and page follow and are tested against them. Types and accessors without a user outside are unexported or gone.

--- a/burn/bucket.go
+++ b/burn/bucket.go
@@ -18,55 +18,41 @@
 
 const bucketsPerSeries = 61 + 73 + 73
 
-// Bucket counts calls that began to be counted within one stretch of time.
-type Bucket struct {
+// bucket counts the calls within one stretch of time, bad ones included.
+type bucket struct {
 	start int64 // Unix seconds, a multiple of the width
 	calls uint64
 	bad   uint64
 }
 
-// NewBucket returns the bucket of a stretch that starts at that time.
-func NewBucket(start time.Time, calls, bad uint64) Bucket {
-	return Bucket{start: start.Unix(), calls: calls, bad: bad}
-}
-
-// Start returns when the stretch began.
-func (b Bucket) Start() time.Time { return time.Unix(b.start, 0).UTC() }
-
-// Calls returns the calls counted, bad ones included.
-func (b Bucket) Calls() uint64 { return b.calls }
-
-// Bad returns the calls that ended in an error or too late.
-func (b Bucket) Bad() uint64 { return b.bad }
-
 // ring holds the newest buckets of one width, addressed by time.
 type ring struct {
 	width   int64 // seconds
-	buckets []Bucket
+	buckets []bucket
 }
 
 func newRing(r resolution) ring {
-	return ring{width: int64(r.width / time.Second), buckets: make([]Bucket, r.kept)}
+	return ring{width: int64(r.width / time.Second), buckets: make([]bucket, r.kept)}
 }
 
 // add counts the calls of a shorter bucket. One that is older than the ring reaches is left out.
-func (r *ring) add(part Bucket) {
+func (r *ring) add(part bucket) {
 	start := part.start - part.start%r.width
 	b := &r.buckets[(start/r.width)%int64(len(r.buckets))]
 	if start < b.start {
 		return
 	}
 	if start > b.start {
-		*b = Bucket{start: start}
+		*b = bucket{start: start}
 	}
 	b.calls += part.calls
 	b.bad += part.bad
 }
 
 // list returns the buckets with calls that the ring still reaches at a Unix time, oldest first.
-func (r *ring) list(now int64) []Bucket {
+func (r *ring) list(now int64) []bucket {
 	newest := now - now%r.width
-	kept := make([]Bucket, 0, len(r.buckets))
+	kept := make([]bucket, 0, len(r.buckets))
 	for i := len(r.buckets) - 1; i >= 0; i-- {
 		start := newest - int64(i)*r.width
 		if start < 0 {
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -56,7 +56,7 @@
 	return total, bad
 }
 
-type summer func(Series, Window, time.Time) (uint64, uint64)
+type summer func(series, Window, time.Time) (uint64, uint64)
 
 // disagrees runs calls at random times through a counter and the model, and names the first window
 // in which they differ.
@@ -101,7 +101,7 @@
 }
 
 func TestWindowsAgreeWithModelCatchesBrokenSum(t *testing.T) {
-	forgetsProgress := func(s Series, w Window, at time.Time) (uint64, uint64) {
+	forgetsProgress := func(s series, w Window, at time.Time) (uint64, uint64) {
 		return sumWindow(s, w, at.Add(-w.Length()))
 	}
 	qt.Assert(t, caughtBy(func(t *rapid.T) string { return disagrees(t, forgetsProgress) }), qt.IsTrue)
@@ -293,13 +293,13 @@
 	c := newCounter(0, clock)
 	old, changed := route("r", "s", promise), route("r", "s", record.NewObjective(0.9, time.Second))
 	c.Observe(old, false, time.Millisecond)
-	qt.Assert(t, c.Counts([]record.Route{changed}).Series(), qt.HasLen, 0)
+	qt.Assert(t, c.Counts([]record.Route{changed}).series, qt.HasLen, 0)
 	c.Observe(changed, true, time.Millisecond)
-	series := c.Counts([]record.Route{changed}).Series()
+	series := c.Counts([]record.Route{changed}).series
 	qt.Assert(t, series, qt.HasLen, 1)
 	calls, bad := sumWindow(series[0], Window5m, start)
 	qt.Assert(t, []uint64{calls, bad}, qt.DeepEquals, []uint64{1, 0})
-	qt.Assert(t, c.Counts(nil).Series(), qt.HasLen, 0)
+	qt.Assert(t, c.Counts(nil).series, qt.HasLen, 0)
 	qt.Assert(t, c.held.Load(), qt.Equals, int64(0))
 }
 
@@ -311,7 +311,7 @@
 		c.Observe(routes[i], true, 0)
 	}
 	c.Observe(route("none", "s", record.Objective{}), true, 0)
-	qt.Assert(t, c.Counts(routes).Series(), qt.HasLen, MaxSeries)
+	qt.Assert(t, c.Counts(routes).series, qt.HasLen, MaxSeries)
 }
 
 func TestConcurrentObserve(t *testing.T) {
@@ -326,7 +326,7 @@
 		})
 	}
 	wg.Wait()
-	calls, _ := sumWindow(c.Counts([]record.Route{r}).Series()[0], Window3d, start)
+	calls, _ := sumWindow(c.Counts([]record.Route{r}).series[0], Window3d, start)
 	qt.Assert(t, calls, qt.Equals, uint64(8000))
 }
 
--- a/burn/codec.go
+++ b/burn/codec.go
@@ -59,7 +59,7 @@
 	return json.Marshal(w)
 }
 
-func encodeBuckets(buckets []Bucket) []wireBucket {
+func encodeBuckets(buckets []bucket) []wireBucket {
 	out := make([]wireBucket, len(buckets))
 	for i, b := range buckets {
 		out[i] = wireBucket{uint64(b.start), b.calls, b.bad}
@@ -96,33 +96,33 @@
 	return c, nil
 }
 
-func decodeSeries(w wireSeries) (Series, error) {
+func decodeSeries(w wireSeries) (series, error) {
 	latency, err := time.ParseDuration(w.Latency)
 	if err != nil {
-		return Series{}, err
+		return series{}, err
 	}
 	if w.Target <= 0 || w.Target >= 1 {
-		return Series{}, fmt.Errorf("target %v; allowed is above 0 and below 1", w.Target)
+		return series{}, fmt.Errorf("target %v; allowed is above 0 and below 1", w.Target)
 	}
-	s := Series{
+	s := series{
 		service: w.Service, route: w.Route, region: member.Region(w.Region),
 		objective: record.NewObjective(w.Target, latency),
 	}
 	for i, buckets := range [][]wireBucket{w.Minutes, w.Fives, w.Hours} {
 		if s.rings[i], err = decodeBuckets(buckets, int64(resolutions[i].width/time.Second)); err != nil {
-			return Series{}, err
+			return series{}, err
 		}
 	}
 	return s, nil
 }
 
-func decodeBuckets(wire []wireBucket, width int64) ([]Bucket, error) {
+func decodeBuckets(wire []wireBucket, width int64) ([]bucket, error) {
 	if len(wire) > maxWireBuckets {
 		return nil, fmt.Errorf("%d buckets; allowed are %d", len(wire), maxWireBuckets)
 	}
-	out := make([]Bucket, len(wire))
+	out := make([]bucket, len(wire))
 	for i, w := range wire {
-		b := Bucket{start: int64(w[0]), calls: w[1], bad: w[2]}
+		b := bucket{start: int64(w[0]), calls: w[1], bad: w[2]}
 		if b.start < 0 || b.start%width != 0 || b.bad > b.calls || i > 0 && b.start <= out[i-1].start {
 			return nil, fmt.Errorf("bucket %v; allowed are ascending multiples of %d seconds with no more bad calls than calls", w, width)
 		}
--- a/burn/counter.go
+++ b/burn/counter.go
@@ -28,7 +28,7 @@
 	region member.Region
 	clock  *timer.Service
 	scope  tally.Scope
-	series sync.Map // route name to *series
+	series sync.Map // route name to *routeCounter
 	held   atomic.Int64
 	drops  tally.Counter
 	grow   sync.Mutex
@@ -56,26 +56,26 @@
 	s.observe(c.clock.Now().Unix(), ok && elapsed <= route.Objective().Latency())
 }
 
-func (c *Counter) find(route record.Route) *series {
-	if held, ok := c.series.Load(route.Name()); ok && held.(*series).counts(route) {
-		return held.(*series)
+func (c *Counter) find(route record.Route) *routeCounter {
+	if held, ok := c.series.Load(route.Name()); ok && held.(*routeCounter).counts(route) {
+		return held.(*routeCounter)
 	}
 	return c.add(route)
 }
 
 // add starts the series of a route, anew if its service or objective has changed: counts against
 // another objective would say nothing about the present one.
-func (c *Counter) add(route record.Route) *series {
+func (c *Counter) add(route record.Route) *routeCounter {
 	c.grow.Lock()
 	defer c.grow.Unlock()
 	held, ok := c.series.Load(route.Name())
-	if ok && held.(*series).counts(route) {
-		return held.(*series)
+	if ok && held.(*routeCounter).counts(route) {
+		return held.(*routeCounter)
 	}
 	if !ok && c.held.Load() >= MaxSeries {
 		return nil
 	}
-	s := newSeries(route, c.scope)
+	s := newRouteCounter(route, c.scope)
 	c.series.Store(route.Name(), s)
 	if !ok {
 		c.held.Add(1)
@@ -93,7 +93,7 @@
 	}
 	out := Counts{nodes: []member.Key{c.node}, at: now}
 	c.series.Range(func(name, value any) bool {
-		s := value.(*series)
+		s := value.(*routeCounter)
 		route, ok := current[name.(string)]
 		if !ok {
 			c.forget(name.(string))
@@ -116,8 +116,8 @@
 	}
 }
 
-// series counts the calls of one route under one objective.
-type series struct {
+// routeCounter counts the calls of one route under one objective.
+type routeCounter struct {
 	service   string
 	route     string
 	objective record.Objective
@@ -125,13 +125,13 @@
 	badCalls  tally.Counter
 
 	mu      sync.Mutex
-	current Bucket // the minute in progress, not yet in the rings
+	current bucket // the minute in progress, not yet in the rings
 	rings   [len(resolutions)]ring
 }
 
-func newSeries(route record.Route, scope tally.Scope) *series {
+func newRouteCounter(route record.Route, scope tally.Scope) *routeCounter {
 	tagged := scope.Tagged(map[string]string{metric.TagService: route.Service(), metric.TagRoute: route.Name()})
-	s := &series{
+	s := &routeCounter{
 		service: route.Service(), route: route.Name(), objective: route.Objective(),
 		calls:    tagged.Counter(metric.ObjectiveCalls),
 		badCalls: tagged.Counter(metric.ObjectiveBadCalls),
@@ -142,12 +142,12 @@
 	return s
 }
 
-func (s *series) counts(route record.Route) bool {
+func (s *routeCounter) counts(route record.Route) bool {
 	return s.service == route.Service() && s.objective == route.Objective()
 }
 
 // observe counts one call at a Unix time. Times before 1970 count as 1970.
-func (s *series) observe(at int64, good bool) {
+func (s *routeCounter) observe(at int64, good bool) {
 	s.calls.Inc(1)
 	var bad uint64
 	if !good {
@@ -165,18 +165,18 @@
 }
 
 // flush moves the minute in progress into the rings.
-func (s *series) flush() {
+func (s *routeCounter) flush() {
 	for i := range s.rings {
 		s.rings[i].add(s.current)
 	}
 	s.current.calls, s.current.bad = 0, 0
 }
 
-func (s *series) snapshot(region member.Region, now int64) Series {
+func (s *routeCounter) snapshot(region member.Region, now int64) series {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.flush()
-	out := Series{service: s.service, route: s.route, region: region, objective: s.objective}
+	out := series{service: s.service, route: s.route, region: region, objective: s.objective}
 	for i := range s.rings {
 		out.rings[i] = s.rings[i].list(now)
 	}
--- a/burn/counts.go
+++ b/burn/counts.go
@@ -9,28 +9,16 @@
 	"github.com/bambooknot/bambooknot/record"
 )
 
-// Series holds the buckets of one route in one region under one objective.
-type Series struct {
+// series holds the buckets of one route in one region under one objective.
+type series struct {
 	service   string
 	route     string
 	region    member.Region
 	objective record.Objective
-	rings     [len(resolutions)][]Bucket // oldest first
+	rings     [len(resolutions)][]bucket // oldest first
 }
 
-// Service returns the service that the route sends calls to.
-func (s Series) Service() string { return s.service }
-
-// Route returns the name of the route.
-func (s Series) Route() string { return s.route }
-
-// Region returns the region of the nodes that counted.
-func (s Series) Region() member.Region { return s.region }
-
-// Objective returns the objective against which the calls were counted.
-func (s Series) Objective() record.Objective { return s.objective }
-
-func compareSeries(a, b Series) int {
+func compareSeries(a, b series) int {
 	return cmp.Or(
 		cmp.Compare(a.service, b.service),
 		cmp.Compare(a.region, b.region),
@@ -44,7 +32,7 @@
 type Counts struct {
 	nodes  []member.Key // sorted
 	at     time.Time    // latest time at which one of the nodes was asked
-	series []Series     // sorted
+	series []series     // sorted
 }
 
 // Nodes returns the nodes that the counts cover. The caller must not change it.
@@ -53,9 +41,6 @@
 // At returns the time up to which calls were counted.
 func (c Counts) At() time.Time { return c.at }
 
-// Series returns the series, ordered by service, region and route. The caller must not change it.
-func (c Counts) Series() []Series { return c.series }
-
 // Merge returns the sum of the counts of different nodes. The order in which counts are merged makes
 // no difference. Buckets add up by wall clock, so clocks that differ blur the edges of windows.
 func Merge(a, b Counts) Counts {
@@ -73,8 +58,8 @@
 	return cmp.Or(a.Peer().Compare(b.Peer()), cmp.Compare(a.Incarnation(), b.Incarnation()))
 }
 
-func mergeSeries(a, b []Series) []Series {
-	out := make([]Series, 0, max(len(a), len(b)))
+func mergeSeries(a, b []series) []series {
+	out := make([]series, 0, max(len(a), len(b)))
 	for len(a) > 0 && len(b) > 0 {
 		switch order := compareSeries(a[0], b[0]); {
 		case order < 0:
@@ -89,15 +74,15 @@
 	return append(append(out, a...), b...)
 }
 
-func addSeries(a, b Series) Series {
+func addSeries(a, b series) series {
 	for i := range a.rings {
 		a.rings[i] = mergeBuckets(a.rings[i], b.rings[i])
 	}
 	return a
 }
 
-func mergeBuckets(a, b []Bucket) []Bucket {
-	out := make([]Bucket, 0, max(len(a), len(b)))
+func mergeBuckets(a, b []bucket) []bucket {
+	out := make([]bucket, 0, max(len(a), len(b)))
 	for len(a) > 0 && len(b) > 0 {
 		switch {
 		case a[0].start < b[0].start:
@@ -105,7 +90,7 @@
 		case a[0].start > b[0].start:
 			out, b = append(out, b[0]), b[1:]
 		default:
-			sum := Bucket{start: a[0].start, calls: a[0].calls + b[0].calls, bad: a[0].bad + b[0].bad}
+			sum := bucket{start: a[0].start, calls: a[0].calls + b[0].calls, bad: a[0].bad + b[0].bad}
 			out, a, b = append(out, sum), a[1:], b[1:]
 		}
 	}
--- a/burn/report.go
+++ b/burn/report.go
@@ -66,7 +66,7 @@
 	return worst
 }
 
-func (r *Row) add(s Series, at time.Time) {
+func (r *Row) add(s series, at time.Time) {
 	for _, w := range Windows() {
 		calls, bad := sumWindow(s, w, at)
 		r.sums[w].add(calls, bad, s.objective)
@@ -97,14 +97,14 @@
 }
 
 // groups splits sorted series by service and region.
-func groups(series []Series) [][]Series {
-	var out [][]Series
-	for len(series) > 0 {
+func groups(sorted []series) [][]series {
+	var out [][]series
+	for len(sorted) > 0 {
 		n := 1
-		for n < len(series) && series[n].service == series[0].service && series[n].region == series[0].region {
+		for n < len(sorted) && sorted[n].service == sorted[0].service && sorted[n].region == sorted[0].region {
 			n++
 		}
-		out, series = append(out, series[:n]), series[n:]
+		out, sorted = append(out, sorted[:n]), sorted[n:]
 	}
 	return out
 }
@@ -162,7 +162,7 @@
 	return lines
 }
 
-func newLine(group []Series, w Window, at time.Time) Line {
+func newLine(group []series, w Window, at time.Time) Line {
 	sums := make(map[int64]*sum)
 	oldest := w.oldest(at)
 	for _, s := range group {
--- a/burn/window.go
+++ b/burn/window.go
@@ -98,7 +98,7 @@
 }
 
 // sumWindow counts the calls of a window: its whole buckets and the one in progress.
-func sumWindow(s Series, w Window, at time.Time) (calls, bad uint64) {
+func sumWindow(s series, w Window, at time.Time) (calls, bad uint64) {
 	oldest := w.oldest(at)
 	for _, b := range s.rings[windows[w].ring] {
 		if b.start >= oldest {
--- a/metric/fleet.go
+++ b/metric/fleet.go
@@ -67,6 +67,7 @@
 		}
 		scope := f.scope.Tagged(map[string]string{TagRegion: string(region)})
 		scope.Gauge(FleetBehind).Update(0)
+		scope.Gauge(FleetCensusAge).Update(0)
 		delete(f.regions, region)
 	}
 }
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -81,5 +81,6 @@
 	}
 	fleet.Record(now, message.NewStatus(message.StatusFields{}))
 	qt.Check(t, gauge(metric.FleetBehind+"+region=kontinent"), qt.Equals, 0.0)
+	qt.Check(t, gauge(metric.FleetCensusAge+"+region=kontinent"), qt.Equals, 0.0)
 	qt.Check(t, gauge(metric.NodeServing+"+"), qt.Equals, 0.0)
 }
--- a/recordfile/recordfile_test.go
+++ b/recordfile/recordfile_test.go
@@ -56,6 +56,8 @@
 		name, text string
 		faults     []string
 	}{
+		{"list of numbers", "level = 3\nservice = [1]", []string{"f: service: an array; allowed is an array of tables, written as \\[\\[service\\]\\]"}},
+		{"inline tables", "service = [{schema = 1, name = 's', slots = -1}, {schema = 1, name = 't'}]", []string{"f: service\\[0\\].slots: -1 is .*"}},
 		{"unknown key", "colour = 1\nlevel = 2", []string{"f: colour: unknown key; allowed are publish_id, operator, base, level, service, resource, route, remove"}},
 		{"one table for many", "level = 2\n[service]\nname = 's'", []string{"f: service: a table; allowed is an array of tables, written as \\[\\[service\\]\\]"}},
 		{
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -128,9 +128,6 @@
 	err      error
 }
 
-// Progress returns how far the version was, as far as is known.
-func (e *TimeoutError) Progress() Progress { return e.progress }
-
 // Error returns the progress, and why the last request for it failed.
 func (e *TimeoutError) Error() string {
 	text := "not in force everywhere in time; " + e.progress.String()
--- a/setting/call.go
+++ b/setting/call.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/bambooknot/bambooknot/admission"
+	"github.com/bambooknot/bambooknot/ledger"
+	"github.com/bambooknot/bambooknot/retry"
 	"github.com/bambooknot/bambooknot/tomldoc"
 )
 
@@ -10,17 +13,17 @@
 const (
 	defaultQueue      = 0
 	maxQueue          = 1 << 16
-	defaultQueueWait  = 100 * time.Millisecond
+	defaultQueueWait  = admission.DefaultWait
 	minQueueWait      = time.Millisecond
 	maxQueueWait      = time.Minute
-	defaultRetryShare = 0.1
+	defaultRetryShare = retry.DefaultShare
 	minRetryShare     = 0.001
-	defaultKeyTTL     = 5 * time.Minute
+	defaultKeyTTL     = ledger.DefaultTTL
 	minKeyTTL         = time.Second
 	maxKeyTTL         = 24 * time.Hour
-	defaultKeys       = 1 << 17
+	defaultKeys       = ledger.DefaultMaxKeys
 	maxKeys           = 10_000_000
-	defaultKeyBytes   = 32 << 20
+	defaultKeyBytes   = ledger.DefaultMaxBytes
 	minKeyBytes       = 1 << 20
 	maxKeyBytes       = 1 << 30
 )
--- a/setting/listen.go
+++ b/setting/listen.go
@@ -15,26 +15,25 @@
 
 // Listen is the section [listen]: the addresses that a node serves over HTTP.
 type Listen struct {
-	callers     netip.AddrPort
-	server      netip.AddrPort
-	observe     netip.AddrPort
-	operators   netip.AddrPort
-	allowRemote bool
+	callers   netip.AddrPort
+	server    netip.AddrPort
+	observe   netip.AddrPort
+	operators netip.AddrPort
 }
 
 func readListen(t *tomldoc.Table) Listen {
 	t.Require("callers", "an IP number with a port, such as \"10.0.0.7:7101\"")
 	l := Listen{
-		callers:     t.AddrPort("callers", netip.AddrPort{}),
-		server:      t.AddrPort("server", defaultServer),
-		observe:     t.AddrPort("observe", defaultObserve),
-		operators:   t.AddrPort("operators", defaultOperators),
-		allowRemote: t.Bool("allow_remote", false),
+		callers:   t.AddrPort("callers", netip.AddrPort{}),
+		server:    t.AddrPort("server", defaultServer),
+		observe:   t.AddrPort("observe", defaultObserve),
+		operators: t.AddrPort("operators", defaultOperators),
 	}
+	allowRemote := t.Bool("allow_remote", false)
 	if !l.server.Addr().IsLoopback() {
 		t.Fault("server", "%s; allowed is a loopback address, as the backend server stands beside the node", l.server)
 	}
-	if !l.operators.Addr().IsLoopback() && !l.allowRemote {
+	if !l.operators.Addr().IsLoopback() && !allowRemote {
 		t.Fault("operators", "%s; allowed is a loopback address, or any address with allow_remote = true", l.operators)
 	}
 	return l
@@ -52,9 +51,6 @@
 // Operators returns the address of the operators' port.
 func (l Listen) Operators() netip.AddrPort { return l.operators }
 
-// AllowRemote tells whether the operators' port may listen on other than loopback addresses.
-func (l Listen) AllowRemote() bool { return l.allowRemote }
-
 type listener struct {
 	key  string
 	addr netip.AddrPort
--- a/setting/node.go
+++ b/setting/node.go
@@ -39,9 +39,6 @@
 // Region returns the region in which the node runs.
 func (n Node) Region() member.Region { return n.region }
 
-// FailureDomain returns the failure domain in which the node runs.
-func (n Node) FailureDomain() member.FailureDomain { return n.domain }
-
 // Peer returns the address for other nodes, over UDP and TCP.
 func (n Node) Peer() netip.AddrPort { return n.peer }
 
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -74,7 +74,7 @@
 		{"address twice", `"10.1.0.12:7101"`, `"10.1.0.12:7100"`, "listen.callers", "node.peer"},
 		{"share above one", `# retry_share = 0.1`, `retry_share = 1.5`, "call.retry_share", "from 0.001 to 1"},
 		{"share not a number", `# retry_share = 0.1`, `retry_share = nan`, "call.retry_share", "from 0.001 to 1"},
-		{"fraction of a key", `# keys = 131072`, `keys = 2048.5`, "call.keys", "whole number"},
+		{"fraction of a key", `# keys = 65536`, `keys = 2048.5`, "call.keys", "whole number"},
 		{"unknown level", `# level = "info"`, `level = "loud"`, "logging.level", "debug, info, warn, error"},
 		{"unknown key", `# level = "info"`, `colour = true`, "logging.colour", "allowed are level"},
 		{"unknown section", `[logging]`, `[loging]`, "loging", "allowed are fleet, node, listen"},
--- a/tomldoc/fault.go
+++ b/tomldoc/fault.go
@@ -8,7 +8,7 @@
 // Fault is one thing wrong with a document.
 type Fault struct {
 	file   string
-	line   int
+	line   int // counted from 1, zero when it is not known
 	key    string
 	detail string
 }
@@ -16,9 +16,6 @@
 // File returns the file at fault.
 func (f Fault) File() string { return f.file }
 
-// Line returns the line at fault, counted from 1, or zero when it is not known.
-func (f Fault) Line() int { return f.line }
-
 // Key returns the dotted key at fault, such as "route[1].path", or an empty string for the whole file.
 func (f Fault) Key() string { return f.key }
 
