--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -224,6 +224,54 @@
 	qt.Check(t, err, qt.ErrorMatches, `.*target 1; .*`)
 }
 
+// rowsDisagree checks that the row of a service and region is the sum of its routes, and says what is not.
+func rowsDisagree(t *rapid.T, makeReport func(Counts) Report) string {
+	c := Merge(Merge(drawCounts(t, 0), drawCounts(t, 1)), drawCounts(t, 2))
+	rows := makeReport(c).Rows()
+	for _, w := range Windows() {
+		for i := 0; i < len(rows); {
+			head := rows[i]
+			var calls, bad uint64
+			var budget float64
+			for i++; i < len(rows) && rows[i].Route() != ""; i++ {
+				r := rows[i]
+				if r.Service() != head.Service() || r.Region() != head.Region() {
+					return "a route below another service or region"
+				}
+				calls += r.Calls(w)
+				bad += r.Bad(w)
+				budget += float64(r.Calls(w)) * (1 - r.Objective().Target())
+			}
+			if head.Route() != "" || head.Calls(w) != calls || head.Bad(w) != bad {
+				return "a sum other than that of the routes"
+			}
+			if math.Abs(head.Rate(w)*budget-float64(bad)) > 1e-9 {
+				return "a rate other than bad calls by budget"
+			}
+		}
+	}
+	return ""
+}
+
+func TestRowsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if d := rowsDisagree(t, NewReport); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+func TestRowsAddUpCatchesBrokenReport(t *testing.T) {
+	forgetsRoute := func(c Counts) Report {
+		r := NewReport(c)
+		if n := len(r.rows); n > 2 {
+			r.rows = append(r.rows[:1:1], r.rows[2:]...)
+		}
+		return r
+	}
+	qt.Assert(t, caughtBy(func(t *rapid.T) string { return rowsDisagree(t, forgetsRoute) }), qt.IsTrue)
+}
+
 func TestRows(t *testing.T) {
 	clock := timer.NewManual(start)
 	c := newCounter(0, clock)
--- a/command/publish.go
+++ b/command/publish.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os/user"
@@ -111,37 +112,38 @@
 	return ""
 }
 
-// attempt publishes until the outcome is known or the attempts are used up. Once an attempt may have
-// taken effect, no later error says that nothing was published.
+// attempt publishes until the outcome is known or the attempts are used up.
 func (c *publishCommand) attempt(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
+	wait := PauseOn(timer.New())
+	send := func() (message.Receipt, error) {
+		ctx, cancel := c.Context()
+		defer cancel()
+		return client.Publish(ctx, change)
+	}
+	return publishUntilKnown(c.Attempts, send, func() { wait(retryPause) })
+}
+
+// publishUntilKnown sends a change set up to attempts times, at least once, with a pause in between. It
+// stops when the outcome is known or when it is sure that nothing was published. Once an attempt may have
+// taken effect, no later failure makes that sure.
+func publishUntilKnown(attempts int, send func() (message.Receipt, error), pause func()) (message.Receipt, error) {
 	inDoubt := false
-	pause := PauseOn(timer.New())
-	var receipt message.Receipt
-	for i := range max(c.Attempts, 1) {
+	var doubt error
+	for i := range max(attempts, 1) {
 		if i > 0 {
-			pause(retryPause)
+			pause()
 		}
-		var err error
-		receipt, err = c.once(client, change)
-		if decided := err == nil && receipt.State() == message.ReceiptDecided; decided {
+		receipt, err := send()
+		if err == nil && receipt.State() == message.ReceiptDecided {
 			return receipt, nil
 		}
 		if !inDoubt && nothingPublished(receipt, err) {
 			return receipt, err
 		}
 		inDoubt = true
-		if err == nil {
-			err = receipt.Err()
-		}
-		receipt = message.NewUndecided(message.ReceiptUnknown, err)
+		doubt = cmp.Or(err, receipt.Err())
 	}
-	return receipt, nil
-}
-
-func (c *publishCommand) once(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
-	ctx, cancel := c.Context()
-	defer cancel()
-	return client.Publish(ctx, change)
+	return message.NewUndecided(message.ReceiptUnknown, doubt), nil
 }
 
 func nothingPublished(r message.Receipt, err error) bool {
--- /dev/null
+++ b/command/publish_test.go
@@ -0,0 +1,95 @@
+package command
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// reply is what may come of one attempt to publish.
+type reply struct {
+	name      string
+	receipt   message.Receipt
+	err       error
+	decided   bool // the outcome is known
+	published bool // the change set may be in the log although the outcome is not known
+}
+
+var replies = []reply{
+	{name: "accepted", receipt: message.NewDecided(record.Accepted(record.PublishID{1}, 8)), decided: true},
+	{name: "refused", receipt: message.NewDecided(record.Refused(record.PublishID{1}, 8, []record.Fault{{}})), decided: true},
+	{name: "not appended", receipt: message.NewUndecided(message.ReceiptNotAppended, errors.New("log down"))},
+	{name: "unknown", receipt: message.NewUndecided(message.ReceiptUnknown, errors.New("log slow")), published: true},
+	{name: "not sent", err: &net.OpError{Op: "dial", Err: errors.New("refused")}},
+	{name: "rejected", err: &operator.RejectedError{}},
+	{name: "answer lost", err: &net.OpError{Op: "read", Err: errors.New("reset")}, published: true},
+}
+
+type publisher func(attempts int, send func() (message.Receipt, error), pause func()) (message.Receipt, error)
+
+// untruth runs a publish over drawn replies and says what it claims wrongly, or nothing.
+func untruth(t *rapid.T, publish publisher) string {
+	drawn := rapid.SliceOfN(rapid.SampledFrom(replies), 5, 5).Draw(t, "replies")
+	attempts := rapid.IntRange(0, len(drawn)).Draw(t, "attempts")
+	sent, pauses := 0, 0
+	doubt := false
+	receipt, err := publish(attempts, func() (message.Receipt, error) {
+		r := drawn[sent]
+		sent++
+		doubt = doubt || r.published
+		return r.receipt, r.err
+	}, func() { pauses++ })
+	last := drawn[sent-1]
+	known := err == nil && receipt.State() == message.ReceiptDecided
+	switch {
+	case sent > max(attempts, 1) || pauses != sent-1:
+		return "too many attempts, or no pause between them"
+	case known != last.decided:
+		return "an outcome lost or made up"
+	case !known && nothingPublished(receipt, err) == doubt:
+		return "wrong about whether anything was published"
+	case !known && doubt && sent < max(attempts, 1):
+		return "given up in doubt before the attempts were used up"
+	case !known && !doubt && sent > 1:
+		return "tried again although nothing was in doubt"
+	}
+	return ""
+}
+
+func TestPublishSaysTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if u := untruth(t, publishUntilKnown); u != "" {
+			t.Fatal(u)
+		}
+	})
+}
+
+func TestPublishSaysTheTruthCatchesBrokenLoop(t *testing.T) {
+	trustsLast := func(attempts int, send func() (message.Receipt, error), pause func()) (receipt message.Receipt, err error) {
+		for i := range max(attempts, 1) {
+			if i > 0 {
+				pause()
+			}
+			receipt, err = send()
+			if err == nil && receipt.State() == message.ReceiptDecided || nothingPublished(receipt, err) {
+				return receipt, err
+			}
+		}
+		return receipt, err
+	}
+	caught := ""
+	example := rapid.Custom(func(t *rapid.T) string { return untruth(t, trustsLast) })
+	for seed := range 100 {
+		if u := example.Example(seed); u != "" {
+			caught = u
+		}
+	}
+	qt.Assert(t, caught, qt.Equals, "wrong about whether anything was published")
+}
