--- a/rig/operate.go
+++ b/rig/operate.go
@@ -2,10 +2,25 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net/http"
 	"os/exec"
+	"time"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
 )
 
+const requestTimeout = 5 * time.Second
+
+// Status asks node i for its status.
+func (f *Fleet) Status(i int) (message.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	return operator.NewClient(f.Operators(i), fleetName, http.DefaultClient).Status(ctx)
+}
+
 // Operate runs a bambooknot command against the operators' port of node i and returns what it printed.
 func (f *Fleet) Operate(i int, args ...string) (string, error) {
 	args = append(args, "--node", f.Operators(i).String(), "--fleet", fleetName)
