catalog: keep refusals for a base above the version in force

Ruled out: raising the horizon above such a base, which would let one bad publish bar all bases but the newest; giving no outcome, which leaves the operator without an answer. Change: such refusals are pinned, 256 and 64 KiB of them at most. Conclusion: beyond 256 made-up bases the oldest is forgotten after all.

--- a/catalog/checkpoint.go
+++ b/catalog/checkpoint.go
@@ -51,7 +51,8 @@
 	return codec.Checkpoint{
 		Head: s.head, Chain: s.chain, Version: s.version,
 		Level: s.level, LevelStamp: s.levelStamp, Horizon: s.horizon,
-		Records: s.index.sorted(), Tombstones: s.graves.queue, Outcomes: s.decisions.queue,
+		Records: s.index.sorted(), Tombstones: s.graves.queue, Outcomes: s.decisions.queue.list,
+		Pinned: s.decisions.pinned.list,
 	}
 }
 
@@ -93,6 +94,9 @@
 	for _, t := range c.Tombstones {
 		s.graves.add(t)
 	}
+	for _, r := range c.Pinned {
+		s.decisions.pin(r)
+	}
 	for _, r := range c.Outcomes {
 		s.decisions.add(r)
 	}
@@ -107,7 +111,7 @@
 	if s.level < InitialLevel {
 		return fmt.Errorf("level %d is below %d", s.level, InitialLevel)
 	}
-	if len(c.Records) > MaxRecords || len(c.Tombstones) > s.graves.max || len(c.Outcomes) > s.decisions.max {
+	if len(c.Records) > MaxRecords || len(c.Tombstones) > s.graves.max || len(c.Outcomes) > s.decisions.max || len(c.Pinned) > MaxPinned {
 		return errors.New("there are more records, tombstones or outcomes than the fold keeps")
 	}
 	for i, r := range c.Records {
--- a/catalog/memory.go
+++ b/catalog/memory.go
@@ -14,6 +14,9 @@
 	MaxOutcomes = 2048
 	// MaxOutcomeBytes bounds the text of remembered faults, in bytes.
 	MaxOutcomeBytes = 512 << 10
+	// MaxPinned and MaxPinnedBytes bound the refusals that are remembered longer than the others.
+	MaxPinned      = 256
+	MaxPinnedBytes = 64 << 10
 	// MaxTombstones is the number of removals remembered.
 	MaxTombstones = 2048
 
@@ -21,12 +24,37 @@
 	trailLength = 1024
 )
 
-// decisions remembers the outcomes of recent publishes, oldest first.
+// decisions remembers the outcomes of recent publishes, oldest first. Refusals for a base above the version in
+// force are pinned when their turn to be forgotten comes: the horizon need not lie above such a base, so that a
+// retry might be accepted once the version has passed it.
 type decisions struct {
-	queue []codec.StampedResult
-	byID  map[record.PublishID]record.Outcome
+	queue  results
+	pinned results
+	byID   map[record.PublishID]record.Outcome
+	max    int
+}
+
+// results is a queue of decisions with the size of their faults in bytes.
+type results struct {
+	list  []codec.StampedResult
 	bytes int
-	max   int
+}
+
+func (r *results) push(d codec.StampedResult) {
+	r.list = append(r.list, d)
+	r.bytes += outcomeBytes(d.Outcome)
+}
+
+// drop takes the oldest decisions out until the rest keeps to both bounds.
+func (r *results) drop(count, bytes int) []codec.StampedResult {
+	n := 0
+	for len(r.list)-n > count || r.bytes > bytes {
+		r.bytes -= outcomeBytes(r.list[n].Outcome)
+		n++
+	}
+	dropped := slices.Clone(r.list[:n])
+	r.list = slices.Delete(r.list, 0, n)
+	return dropped
 }
 
 func newDecisions(limit int) decisions {
@@ -40,24 +68,35 @@
 
 // add remembers a decision and returns the version behind the last one forgotten for it, or zero.
 func (d *decisions) add(r codec.StampedResult) record.Version {
-	d.queue = append(d.queue, r)
+	d.queue.push(r)
 	d.byID[r.Outcome.Publish()] = r.Outcome
-	d.bytes += outcomeBytes(r.Outcome)
-	evicted := 0
-	for len(d.queue)-evicted > d.max || d.bytes > MaxOutcomeBytes {
-		old := d.queue[evicted]
+	var horizon record.Version
+	for _, old := range d.queue.drop(d.max, MaxOutcomeBytes) {
+		horizon = record.Version(old.Offset + 1)
+		if isAhead(old.Outcome) {
+			d.pin(old)
+			continue
+		}
 		delete(d.byID, old.Outcome.Publish())
-		d.bytes -= outcomeBytes(old.Outcome)
-		evicted++
 	}
-	if evicted == 0 {
-		return 0
-	}
-	horizon := record.Version(d.queue[evicted-1].Offset + 1)
-	d.queue = slices.Delete(d.queue, 0, evicted)
 	return horizon
 }
 
+func (d *decisions) pin(r codec.StampedResult) {
+	d.pinned.push(r)
+	d.byID[r.Outcome.Publish()] = r.Outcome
+	for _, old := range d.pinned.drop(MaxPinned, MaxPinnedBytes) {
+		delete(d.byID, old.Outcome.Publish())
+	}
+}
+
+// isAhead tells whether a publish was refused for a base above the version in force.
+func isAhead(o record.Outcome) bool {
+	return slices.ContainsFunc(o.Faults(), func(f record.Fault) bool {
+		return f.Reason() == record.ReasonInvalid && f.Field() == fieldBase
+	})
+}
+
 func outcomeBytes(o record.Outcome) int {
 	size := 0
 	for _, f := range o.Faults() {
--- a/catalog/review.go
+++ b/catalog/review.go
@@ -23,6 +23,9 @@
 	maxShownName = 64 // bytes
 )
 
+// fieldBase names the base version in faults.
+const fieldBase = "base"
+
 // rule adds the faults of one sort that a change set has.
 type rule func(v *review)
 
@@ -112,7 +115,7 @@
 		v.add(record.ReasonInvalid, record.ID{}, "publish", "the publish ID is missing")
 	}
 	if c.Base() > v.state.version {
-		v.add(record.ReasonInvalid, record.ID{}, "base", "base version %d is above version %d in force", c.Base(), v.state.version)
+		v.add(record.ReasonInvalid, record.ID{}, fieldBase, "base version %d is above version %d in force", c.Base(), v.state.version)
 	}
 	if len(c.Operator()) > maxNameBytes {
 		v.add(record.ReasonInvalid, record.ID{}, "operator", "the name exceeds %d bytes", maxNameBytes)
@@ -121,7 +124,7 @@
 		v.add(record.ReasonInvalid, record.ID{}, "", "the change set changes nothing")
 	}
 	if c.Base() < v.state.horizon && c.Base() < v.state.version {
-		v.add(record.ReasonConflict, record.ID{}, "base",
+		v.add(record.ReasonConflict, record.ID{}, fieldBase,
 			"base version %d is too old: decisions and removals are remembered from version %d on", c.Base(), v.state.horizon)
 	}
 }
--- a/catalog/review_test.go
+++ b/catalog/review_test.go
@@ -140,6 +140,23 @@
 	f.put(service("later"))
 }
 
+// TestRefusalForBaseAheadStays repeats a publish with a made-up base once the version has passed it.
+func TestRefusalForBaseAheadStays(t *testing.T) {
+	f := newFixture(t)
+	f.state = newState(record.SchemaNewest, smallPolicy())
+	ahead := f.change(30, puts(service("ahead")))
+	refused := f.apply(ahead)
+	f.grow(0, 40)
+	f.c.Assert(f.state.Horizon() > 0 && f.state.Version() > 30, qt.IsTrue)
+	f.c.Assert(fmt.Sprint(f.apply(ahead)), qt.Equals, fmt.Sprint(refused))
+	for i := range 2 * MaxPinned {
+		id := record.PublishID{8, byte(i >> 8), byte(i)}
+		f.apply(record.NewChangeSet(id, "ana", 1<<40, puts(service("ahead")), nil))
+	}
+	f.c.Assert(f.state.decisions.pinned.list, qt.HasLen, MaxPinned)
+	f.c.Assert(f.state.decisions.byID, qt.HasLen, MaxPinned+smallPolicy().outcomes)
+}
+
 func TestTombstoneHorizon(t *testing.T) {
 	f := newFixture(t)
 	f.state = newState(record.SchemaNewest, smallPolicy())
@@ -241,8 +258,8 @@
 	for range 60 {
 		f.apply(f.change(0, bad))
 	}
-	f.c.Assert(f.state.decisions.bytes <= MaxOutcomeBytes, qt.IsTrue)
-	f.c.Assert(len(f.state.decisions.queue) < 60, qt.IsTrue)
+	f.c.Assert(f.state.decisions.queue.bytes <= MaxOutcomeBytes, qt.IsTrue)
+	f.c.Assert(len(f.state.decisions.queue.list) < 60, qt.IsTrue)
 }
 
 func TestMalformed(t *testing.T) {
--- a/codec/checkpoint.go
+++ b/codec/checkpoint.go
@@ -21,6 +21,7 @@
 	Records    []Stamped       // records in force, ordered by ID
 	Tombstones []Tombstone     // removed records, oldest first
 	Outcomes   []StampedResult // recent decisions, oldest first
+	Pinned     []StampedResult // refusals remembered longer, oldest first
 }
 
 // Stamp says which publish changed something last.
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -36,6 +36,7 @@
 		{Offset: 3, Outcome: record.Accepted(record.PublishID{1}, 4)},
 		{Offset: 5, Outcome: record.Refused(record.PublishID{2}, 4, []record.Fault{fault})},
 	}
+	c.Pinned = c.Outcomes[1:]
 	return c
 }
 
--- a/codec/wirecheckpoint.go
+++ b/codec/wirecheckpoint.go
@@ -44,6 +44,7 @@
 	Records    []wireStamped   `cbor:"6,keyasint,omitempty"`
 	Tombstones []wireTombstone `cbor:"7,keyasint,omitempty"`
 	Results    []wireResult    `cbor:"8,keyasint,omitempty"`
+	Pinned     []wireResult    `cbor:"9,keyasint,omitempty"`
 }
 
 func toWireStamp(s Stamp) wireStamp { return wireStamp{Version: uint64(s.Version), Publish: s.Publish} }
@@ -70,6 +71,9 @@
 	for _, r := range c.Outcomes {
 		w.Results = append(w.Results, toWireResult(r))
 	}
+	for _, r := range c.Pinned {
+		w.Pinned = append(w.Pinned, toWireResult(r))
+	}
 	return w, nil
 }
 
@@ -113,5 +117,8 @@
 	for _, r := range w.Results {
 		c.Outcomes = append(c.Outcomes, r.result())
 	}
+	for _, r := range w.Pinned {
+		c.Pinned = append(c.Pinned, r.result())
+	}
 	return c, nil
 }
