--- a/catalog/loader.go
+++ b/catalog/loader.go
@@ -20,6 +20,7 @@
 	limit    int            // of bytes
 	parts    assembly
 	rejected int
+	mismatch int
 }
 
 // maxLoaderBytes bounds the entries that a Loader keeps while it waits for a checkpoint. Beyond it the oldest ones
@@ -58,6 +59,9 @@
 // Rejected returns the number of whole checkpoints that were stale, damaged or below the floor.
 func (l *Loader) Rejected() int { return l.rejected }
 
+// Mismatches returns the number of entries whose checkpoints contradict the one restored: one of them is wrong.
+func (l *Loader) Mismatches() int { return l.mismatch }
+
 // Add takes the entries that follow. Entries seen before change nothing. The error is a *GapError when entries
 // are missing, and the caller then starts over with a new Loader; or a *LevelError.
 func (l *Loader) Add(entries []record.Entry) error {
@@ -71,7 +75,10 @@
 
 func (l *Loader) add(e record.Entry) error {
 	if l.state != nil {
-		_, err := l.state.Apply(e)
+		result, err := l.state.Apply(e)
+		if result.Kind() == ResultMismatch {
+			l.mismatch++
+		}
 		return err
 	}
 	if e.Offset() < l.Next() {
--- a/catalog/loader_test.go
+++ b/catalog/loader_test.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// TestLoadCountsMismatches loads a well-formed checkpoint of another history, which a later one contradicts.
+func TestLoadCountsMismatches(t *testing.T) {
+	f, other := newFixture(t), newFixture(t)
+	f.grow(0, 5)
+	other.grow(50, 5)
+	f.applyData(other.checkpoint(1)[0])
+	f.applyData(f.checkpoint(2)[0])
+	l := NewLoader(5)
+	f.c.Assert(l.Add(f.log[5:]), qt.IsNil)
+	f.c.Assert(l.Mismatches(), qt.Equals, 1)
+}
+
 func TestLoadGap(t *testing.T) {
 	c := qt.New(t)
 	l := NewLoader(5)
--- a/catalog/world_test.go
+++ b/catalog/world_test.go
@@ -15,13 +15,19 @@
 	"github.com/bambooknot/bambooknot/record"
 )
 
-const testSeed = "20261203"
+const (
+	testSeed   = "20261203"
+	testWorlds = "150"
+)
 
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", testSeed)
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", testWorlds)
+	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
