--- a/fleet/claims.go
+++ b/fleet/claims.go
@@ -110,11 +110,15 @@
 		return
 	}
 	m.sweepAt = m.now.Add(sweepPeriod)
-	for _, e := range slices.Clone(m.table.entries) {
+	var old []*entry
+	for _, e := range m.table.entries {
 		if !e.live() && e != m.self && m.now.Sub(e.goneAt) >= m.settings.Retention {
-			m.forget(e)
+			old = append(old, e)
 		}
 	}
+	for _, e := range old {
+		m.forget(e)
+	}
 }
 
 func (m *Machine) forget(e *entry) {
