fleet: nodes that know nobody read the rendezvous stream while they wait to append

Cause: 580 nodes starting with an empty stream needed 11.7 s, most of it waiting for their own turn to append; a fleet replaced at once would have waited until the entries of the dead were a minute old. Ruled out: trusting the writers' clocks; a node now also goes by offsets beyond its first read. Change: reads go on every 2 s while a node waits to append; after 5 s without an answer only entries written since count. Views that differ are compared after 2 s without change, after 4 s at the latest.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
 )
 
 var sizes = []int{12, 100, 580}
@@ -30,13 +31,18 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for range b.N {
 				w := formed(b, 1, size, nil)
+				for i, n := range w.nodes {
+					n.m.SetDigest(message.NewDigest(record.Version(i), record.Offset(1<<20), 1<<60))
+				}
 				w.run(30 * time.Second)
 				w.resetBytes()
 				w.run(span)
-				total := 0
+				total, most := 0, 0
 				for _, n := range w.nodes {
 					total += n.sent + n.got
+					most = max(most, n.sent+n.got)
 				}
+				b.ReportMetric(float64(most)/span.Seconds(), "B-most/s")
 				b.ReportMetric(float64(total)/float64(size)/span.Seconds(), "B/node/s")
 				b.ReportMetric(float64(w.crossed)/span.Seconds(), "cross-B/s")
 				b.ReportMetric(0, "ns/op")
--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -266,3 +266,38 @@
 	w.run(DefaultRetention + 10*time.Second)
 	qt.Assert(t, len(w.nodes[0].m.Members()), qt.Equals, 19)
 }
+
+func TestFleetReplacedAtOnce(t *testing.T) {
+	t.Parallel()
+	w := newNetwork(t, 25)
+	for i := range 20 {
+		w.add(i, 0)
+	}
+	w.run(time.Second)
+	w.runUntil(healBound, w.converged)
+	w.run(2 * time.Minute)
+	for i := range 20 {
+		w.nodes[i].dead = true // the stream goes on naming them
+	}
+	before := w.appends
+	for i := 20; i < 50; i++ {
+		w.add(i, time.Duration(w.rnd.Int64N(int64(time.Second))))
+	}
+	w.run(time.Second)
+	t.Logf("formed after %v", w.runUntil(healBound, w.converged))
+	w.run(time.Minute)
+	qt.Assert(t, w.appends-before <= 6, qt.IsTrue, qt.Commentf("%d", w.appends-before))
+}
+
+func FuzzRendezvous(f *testing.F) {
+	m := preformed(f, 26, 3).nodes[0].m
+	f.Add(m.formatRendezvous())
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, peers, err := m.parseRendezvous(data)
+		qt.Assert(t, err == nil || len(peers) == 0, qt.IsTrue)
+		for _, peer := range peers {
+			qt.Assert(t, peer.IsValid(), qt.IsTrue)
+		}
+	})
+}
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -18,6 +18,10 @@
 	rendezvousStart = time.Second
 	// rendezvousSpread bounds the random delay before a node that knows nobody appends.
 	rendezvousSpread = 8 * time.Second
+	// rendezvousRetry is the mean time between two reads of a node that knows nobody.
+	rendezvousRetry = 2 * time.Second
+	// rendezvousPatience is how long a node that knows nobody tries addresses written before its start.
+	rendezvousPatience = 5 * time.Second
 	// rendezvousBackoff bounds the time between two reads while the log fails.
 	rendezvousBackoff = 30 * time.Second
 	// rendezvousTail is the number of entries read from the end of the stream.
@@ -45,7 +49,10 @@
 	newest   time.Time     // newest entry seen
 	appended time.Time     // last own append
 	pending  bool          // an append is running
-	mayAdd   bool          // the stream was old when last read; append if it is still so
+	addAt    time.Time     // when to append if the stream is still old, zero if it was not
+	known    bool          // the stream was read to its end
+	end      record.Offset // end of the stream when it was first read
+	grown    time.Time     // when an entry beyond that was last seen
 	token    uint64
 	hinted   int       // hint contacted last
 	hintAt   time.Time // next contact with a hint
@@ -126,6 +133,7 @@
 		return m.flush()
 	}
 	m.meet.delay = 0
+	m.noteEnd(page)
 	m.readEntries(page)
 	m.decideAppend()
 	return m.flush()
@@ -145,6 +153,12 @@
 	return true
 }
 
+func (m *Machine) noteEnd(page message.LogPage) {
+	if !m.meet.known {
+		m.meet.known, m.meet.end = true, page.Next()
+	}
+}
+
 func (m *Machine) readEntries(page message.LogPage) {
 	contacts := 0
 	for _, e := range slices.Backward(page.Entries()) {
@@ -159,6 +173,9 @@
 		if at.After(m.meet.newest) {
 			m.meet.newest = at
 		}
+		if e.Offset() >= m.meet.end {
+			m.meet.grown = m.now
+		}
 		if m.now.Sub(at) >= rendezvousStale {
 			continue
 		}
@@ -182,24 +199,38 @@
 	}
 }
 
-// decideAppend appends if the stream is old and it was already so at the last read, and sets the time
-// of the next read.
+// decideAppend appends if the stream is old and stays so for a random time, and sets the time of the
+// next read.
 func (m *Machine) decideAppend() {
-	fresh := m.now.Sub(m.meet.newest) < m.settings.RendezvousAge
+	period := m.settings.RendezvousRead
+	if !m.sync.joined {
+		period = rendezvousRetry
+	}
+	m.meet.at = m.now.Add(period/2 + m.jitter(period))
 	recent := m.now.Sub(m.meet.appended) < m.settings.RendezvousAge
-	if fresh || recent || m.meet.pending {
-		m.meet.mayAdd = false
-		m.meet.at = m.now.Add(m.settings.RendezvousRead/2 + m.jitter(m.settings.RendezvousRead))
+	switch {
+	case m.fresh() || recent || m.meet.pending:
+		m.meet.addAt = time.Time{}
+	case m.meet.addAt.IsZero():
+		m.meet.addAt = m.now.Add(m.jitter(rendezvousSpread))
+	case !m.now.Before(m.meet.addAt):
+		m.meet.addAt = time.Time{}
+		m.appendSelf()
 		return
 	}
-	if !m.meet.mayAdd {
-		m.meet.mayAdd = true
-		m.meet.at = m.now.Add(m.jitter(rendezvousSpread))
-		return
+	if m.meet.addAt.After(m.now) && m.meet.addAt.Before(m.meet.at) {
+		m.meet.at = m.meet.addAt
+	}
+}
+
+// fresh tells whether the stream needs no new entry. A node that still knows nobody after it has tried
+// the addresses written before its start trusts only in entries written since.
+func (m *Machine) fresh() bool {
+	if m.now.Sub(m.meet.grown) < m.settings.RendezvousAge {
+		return true
 	}
-	m.meet.mayAdd = false
-	m.meet.at = m.now.Add(m.settings.RendezvousRead)
-	m.appendSelf()
+	impatient := !m.sync.joined && m.now.Sub(m.started) >= rendezvousPatience
+	return !impatient && m.now.Sub(m.meet.newest) < m.settings.RendezvousAge
 }
 
 func (m *Machine) appendSelf() {
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -56,7 +56,7 @@
 	DefaultGossipFanout   = 3
 	DefaultRetention      = 5 * time.Minute
 	DefaultPauseGap       = 500 * time.Millisecond
-	DefaultSyncSettle     = 3 * time.Second
+	DefaultSyncSettle     = 2 * time.Second
 	DefaultSyncDatagrams  = 64
 	DefaultGateways       = 2
 	DefaultGatewayPeriod  = 2 * time.Second
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -17,7 +17,7 @@
 	// referrals is the number of members named to a joining node that is not answered in full.
 	referrals = 8
 	// unsettledFactor times SyncSettle is how long differing views are left alone while news come in.
-	unsettledFactor = 4
+	unsettledFactor = 2
 )
 
 // syncState paces comparisons of views.
