fleet: a woken node does not vouch for lost regions; numbers and table are bounded

Cause: a pause shifted the times of contact, so a woken gateway made all others believe for 20 s that a region cut off was there; an incarnation at the top of its range could not be topped by its owner. Ruled out: a guard against steps of the wall clock during a probe, as Sub goes by the monotonic clock.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -107,6 +107,7 @@
 					}
 					b.ReportMetric(took.Seconds(), "s")
 					b.ReportMetric(float64(most), "B-most")
+					b.ReportMetric(float64(w.crossed), "cross-B")
 					b.ReportMetric(float64(w.appends), "appends")
 					b.ReportMetric(float64(w.reads), "reads")
 					b.ReportMetric(0, "ns/op")
--- a/fleet/claims.go
+++ b/fleet/claims.go
@@ -11,6 +11,9 @@
 // sweepPeriod is the time between two searches for claims to forget.
 const sweepPeriod = time.Second
 
+// maxNumber bounds incarnations and revisions, so that there is always a greater one to refute with.
+const maxNumber = 1 << 62
+
 // take merges claims that a peer sent.
 func (m *Machine) take(from member.Key, claims []member.Member) {
 	for _, c := range claims {
@@ -19,6 +22,10 @@
 }
 
 func (m *Machine) merge(from member.Key, c member.Member) {
+	if max(uint64(c.Key().Incarnation()), c.Revision()) > maxNumber {
+		m.counts.Refused++
+		return
+	}
 	if c.Key().Peer() == m.self.peer() {
 		m.mergeSelf(c)
 		return
--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -251,6 +251,47 @@
 	t.Log(worst)
 }
 
+func TestPausedNodeDoesNotVouchForLostRegion(t *testing.T) {
+	t.Parallel()
+	w := preformed(t, 27, 10)
+	w.run(5 * time.Second)
+	n := w.nodes[0]
+	n.paused = true
+	w.cut = parted
+	w.run(time.Minute)
+	w.wake(n)
+	for range 100 {
+		w.run(tickPeriod)
+		qt.Assert(t, healthIn(w.nodes[1], w.nodes[3]), qt.Equals, member.HealthSuspect)
+	}
+	w.run(DefaultRegionLost)
+	qt.Assert(t, healthIn(n, w.nodes[3]), qt.Equals, member.HealthSuspect)
+}
+
+func TestNumbersOutOfRangeAreRefused(t *testing.T) {
+	t.Parallel()
+	n := preformed(t, 28, 3).nodes[0]
+	own := n.m.Self()
+	top := member.New(member.NewKey(own.Key().Peer(), 1<<63), own.Place(), 2)
+	for _, c := range []member.Member{top, own.WithRevision(1 << 63).WithHealth(member.HealthDead)} {
+		n.m.take(peerKey(1), []member.Member{c})
+	}
+	qt.Assert(t, n.m.Self(), qt.Equals, own)
+	qt.Assert(t, n.m.Counts().Refused, qt.Equals, 2)
+}
+
+func peerKey(i int) member.Key { return member.NewKey(peerOf(i), 1) }
+
+func TestTableIsBounded(t *testing.T) {
+	t.Parallel()
+	n := preformed(t, 29, 3).nodes[0]
+	for i := range maxEntries + 100 {
+		n.m.take(peerKey(1), []member.Member{member.New(peerKey(i), placeOf(i), 2)})
+	}
+	qt.Assert(t, len(n.m.Members()), qt.Equals, maxEntries)
+	qt.Assert(t, n.m.Counts().Refused, qt.Equals, 100)
+}
+
 func TestLeaveIsFinal(t *testing.T) {
 	t.Parallel()
 	w := preformed(t, 24, 20)
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -22,7 +22,7 @@
 	Refutations int // claims about this node that it refuted
 	Syncs       int // comparisons of views that this node started
 	Pauses      int // times that this node found that it had been paused
-	Refused     int // claims refused because the table was full or a name too long
+	Refused     int // claims refused: the table is full, a name too long, a number out of range
 	Appends     int // entries that this node ordered for the rendezvous stream
 }
 
@@ -186,7 +186,7 @@
 	m.now, m.started = now, now
 	m.probe.period = m.periodOf(now)
 	m.sync.agreed = now
-	m.cross.started = now
+	m.cross.awake = now
 	m.meet.at = now.Add(m.jitter(rendezvousStart))
 	m.cross.next = now.Add(m.jitter(m.settings.GatewayPeriod))
 }
@@ -201,7 +201,7 @@
 	for _, e := range m.suspects {
 		e.suspectUntil = e.suspectUntil.Add(gap)
 	}
-	m.cross.slept(gap)
+	m.cross.awake = m.now
 }
 
 // jitter returns a random duration below d.
--- a/fleet/region.go
+++ b/fleet/region.go
@@ -27,20 +27,13 @@
 
 // crossState is what a node does as a gateway, and what it knows of other regions.
 type crossState struct {
-	started  time.Time
+	awake    time.Time // start of the machine, or the end of its last pause
 	next     time.Time
 	contacts []contact
 	queue    []*entry
 	silent   int // probes of other regions since the last answer
 }
 
-func (c *crossState) slept(gap time.Duration) {
-	c.started = c.started.Add(gap)
-	for i := range c.contacts {
-		c.contacts[i].at = c.contacts[i].at.Add(gap)
-	}
-}
-
 // heardFrom notes a contact, if it is newer than the one known.
 func (c *crossState) heardFrom(region member.Region, at time.Time) {
 	for i := range c.contacts {
@@ -89,17 +82,19 @@
 	return contacts
 }
 
-// silence returns for how long nothing was heard from a region, zero for the node's own.
+// silence returns for how long nothing was heard from a region, zero for the node's own. Time in which
+// the node itself was paused, and all before it, does not count.
 func (m *Machine) silence(region member.Region) time.Duration {
 	if region == m.region() {
 		return 0
 	}
+	last := m.cross.awake
 	for _, c := range m.cross.contacts {
-		if c.region == region {
-			return m.now.Sub(c.at)
+		if c.region == region && c.at.After(last) {
+			last = c.at
 		}
 	}
-	return m.now.Sub(m.cross.started)
+	return m.now.Sub(last)
 }
 
 // gateways returns the members that talk to other regions, best first: by hash, and from different
