fleet: take no contacts from messages that queued up during a pause

Change: contacts are ignored for one second after a pause. Ruled out: dropping all queued messages, as claims carry their own order and are of use.

--- a/fleet/region.go
+++ b/fleet/region.go
@@ -11,6 +11,8 @@
 const (
 	// contactSlack is added to ages of contacts heard from others, for the time on the way.
 	contactSlack = 100 * time.Millisecond
+	// wakeGrace is how long after a pause messages may have been queued up during it.
+	wakeGrace = time.Second
 	// maxContacts bounds the regions remembered.
 	maxContacts = 4
 	// crossCopies is how often a gateway sends one claim to another region.
@@ -57,9 +59,11 @@
 	return m.region()
 }
 
+// mergeContacts takes contacts from a message. Just after a pause, messages are as old as the pause was
+// long, so nothing is taken from them.
 func (m *Machine) mergeContacts(from member.Key, contacts []message.Contact) {
 	e := m.table.byPeer[from.Peer()]
-	if e == nil {
+	if e == nil || m.now.Sub(m.cross.awake) < wakeGrace {
 		return
 	}
 	if e.region() != m.region() {
