--- a/fleet/claims.go
+++ b/fleet/claims.go
@@ -40,7 +40,7 @@
 		return
 	}
 	if !known && !e.live() {
-		return // kept against older claims, but no news
+		return // kept against older claims, but not passed on
 	}
 	m.enqueue(e)
 	if e.region() == m.region() && m.regionOf(from) != otherRegion {
@@ -134,7 +134,7 @@
 	m.table.remove(e)
 }
 
-// claimOf changes the health of a member and makes it news.
+// claimOf changes the health of a member and spreads the claim.
 func (m *Machine) claimOf(e *entry, h member.Health) {
 	m.store(e.claim.WithHealth(h))
 	m.enqueue(e)
@@ -142,18 +142,18 @@
 	m.announce(e)
 }
 
-// gossip spreads news when its round has come.
+// gossip spreads claims when its round has come.
 func (m *Machine) gossip() {
-	if m.now.Before(m.nextNews) {
+	if m.now.Before(m.nextRound) {
 		return
 	}
-	m.nextNews = m.now.Add(m.settings.GossipPeriod)
+	m.nextRound = m.now.Add(m.settings.GossipPeriod)
 	m.spread()
 	m.crossSpread()
 }
 
-// doubt returns the claim held about a sender if the sender should know it and refute.
-func (m *Machine) doubt(from member.Key) []member.Member {
+// disputed returns the claim held about a sender if the sender should know it and refute.
+func (m *Machine) disputed(from member.Key) []member.Member {
 	e := m.table.byPeer[from.Peer()]
 	if e == nil || from.Incarnation() > e.claim.Key().Incarnation() || e.claim.Health() == member.HealthAlive {
 		return nil
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -1,7 +1,7 @@
 // Package fleet keeps the membership of the fleet: which nodes live, where, and which backend servers
 // stand beside them. It is a deterministic state machine after SWIM (Das, Gupta, Motivala: "SWIM:
 // Scalable Weakly-consistent Infection-style Process Group Membership Protocol", 2002): one probe a
-// period, indirect probes, suspicion with refutation, and claims spread as news. docs/membership.md
+// period, indirect probes, suspicion with refutation, and claims spread by gossip. docs/membership.md
 // gives the reasons and the figures.
 package fleet
 
@@ -28,30 +28,30 @@
 
 // Machine is the membership of one node. It is not safe for concurrent use.
 type Machine struct {
-	settings Settings
-	rnd      *rand.Rand
-	table    *table
-	self     *entry
-	digest   message.Digest
-	now      time.Time
-	started  time.Time
-	heard    time.Time // when a message was last received
-	left     bool
-	queue    []*entry
-	nextNews time.Time
-	suspects []*entry
-	sweepAt  time.Time
-	probe    probe
-	relays   []relay
-	seq      uint32
-	sync     syncState
-	cross    crossState
-	meet     rendezvous
-	out      []message.Action
-	view     *member.View
-	viewMark viewMark
-	roster   roster
-	counts   Counts
+	settings   Settings
+	rnd        *rand.Rand
+	table      *table
+	self       *entry
+	digest     message.Digest
+	now        time.Time
+	started    time.Time
+	heard      time.Time // when a message was last received
+	left       bool
+	queue      []*entry
+	nextRound  time.Time
+	suspects   []*entry
+	sweepAt    time.Time
+	probe      probe
+	relays     []relay
+	seq        uint32
+	sync       syncState
+	cross      crossState
+	rendezvous rendezvous
+	out        []message.Action
+	view       *member.View
+	viewMark   viewMark
+	roster     roster
+	counts     Counts
 
 	// Seams for tests that break one rule each.
 	overrides func(claim, held member.Member) bool
@@ -130,7 +130,7 @@
 	return m.flush()
 }
 
-// Leave announces that the node leaves for good. Ticks go on spreading the news until the node stops.
+// Leave announces that the node leaves for good. Ticks go on spreading this until the node stops.
 func (m *Machine) Leave(now time.Time) []message.Action {
 	m.advance(now)
 	if m.left {
@@ -187,7 +187,7 @@
 	m.probe.period = m.periodOf(now)
 	m.sync.agreed = now
 	m.cross.awake = now
-	m.meet.at = now.Add(m.jitter(rendezvousStart))
+	m.rendezvous.at = now.Add(m.jitter(rendezvousStart))
 	m.cross.next = now.Add(m.jitter(m.settings.GatewayPeriod))
 }
 
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -90,18 +90,18 @@
 // ping sends a probe and returns its number.
 func (m *Machine) ping(e *entry) uint32 {
 	m.seq++
-	m.send(e.peer(), message.NewPing(m.seq, m.summary(), m.speak(e)))
+	m.send(e.peer(), message.NewPing(m.seq, m.summary(), m.claimsFor(e)))
 	return m.seq
 }
 
-// speak returns the claims for a probe or an answer: what the receiver should refute, then news.
-func (m *Machine) speak(to *entry) []member.Member {
+// claimsFor returns the claims for a probe or an answer: what the receiver should refute, then updates.
+func (m *Machine) claimsFor(to *entry) []member.Member {
 	if to == nil {
-		return m.news(probeRoom, 1)
+		return m.updates(probeRoom, 1)
 	}
-	claims := m.doubt(to.claim.Key())
-	news := m.news(probeRoom-len(claims)*doubtRoom, 1)
-	for _, c := range news {
+	claims := m.disputed(to.claim.Key())
+	updates := m.updates(probeRoom-len(claims)*disputedRoom, 1)
+	for _, c := range updates {
 		if c.Key() != to.claim.Key() {
 			claims = append(claims, c)
 		}
@@ -109,8 +109,8 @@
 	return claims
 }
 
-// doubtRoom is the room that one claim with its names takes at most, in bytes.
-const doubtRoom = 280
+// disputedRoom is the room that one claim with its names takes at most, in bytes.
+const disputedRoom = 280
 
 // probeOthers asks others to probe when the direct probe is late.
 func (m *Machine) probeOthers() {
@@ -135,7 +135,7 @@
 	}
 	m.probe.failures++
 	e := m.table.byPeer[key.Peer()]
-	if e == nil || e.claim.Key() != key || e.claim.Health() != member.HealthAlive || m.deaf(sent) {
+	if e == nil || e.claim.Key() != key || e.claim.Health() != member.HealthAlive || m.isolated(sent) {
 		return
 	}
 	m.counts.Suspicions++
@@ -143,9 +143,9 @@
 	m.send(e.peer(), message.NewClaims([]member.Member{e.claim}))
 }
 
-// deaf tells whether nobody at all was heard since a probe was sent, so that the fault is probably on
+// isolated tells whether nobody at all was heard since a probe was sent, so that the fault is probably on
 // this side. With one other member in the region, nobody else could have been heard.
-func (m *Machine) deaf(since time.Time) bool {
+func (m *Machine) isolated(since time.Time) bool {
 	return len(m.regional()) > 2 && m.heard.Before(since)
 }
 
@@ -158,7 +158,7 @@
 func (m *Machine) receivePing(from member.Key, p message.Ping) {
 	m.compare(from, p.Summary(), false)
 	e := m.table.byPeer[from.Peer()]
-	m.send(from.Peer(), message.NewAck(p.Seq(), m.summary(), m.speak(e)))
+	m.send(from.Peer(), message.NewAck(p.Seq(), m.summary(), m.claimsFor(e)))
 }
 
 func (m *Machine) receiveAck(from member.Key, a message.Ack) {
--- a/fleet/region.go
+++ b/fleet/region.go
@@ -109,7 +109,7 @@
 
 func (m *Machine) gatewayRank() int { return slices.Index(m.gateways(m.region()), m.self) }
 
-// crossEnqueue makes a claim news for other regions.
+// crossEnqueue lets the claim of e go to other regions.
 func (m *Machine) crossEnqueue(e *entry) {
 	if e.crossSends == 0 {
 		m.cross.queue = append(m.cross.queue, e)
@@ -117,7 +117,7 @@
 	e.crossSends = crossCopies
 }
 
-// crossSpread sends news of this region to the other regions, if the node is a gateway.
+// crossSpread sends updates of this region to the other regions, if the node is a gateway.
 func (m *Machine) crossSpread() {
 	if len(m.cross.queue) == 0 {
 		return
@@ -163,7 +163,7 @@
 			m.cross.silent++
 		}
 	}
-	m.reviveOne()
+	m.probeDead()
 }
 
 // crossTarget returns the gateway of a region that has this node's rank, or any member while the
@@ -179,9 +179,9 @@
 	return r.gateways[max(m.gatewayRank(), 0)%len(r.gateways)]
 }
 
-// reviveOne probes a member of the region that is held for dead, so that two halves of a region that
+// probeDead probes a member of the region that is held for dead, so that two halves of a region that
 // declared each other dead meet again.
-func (m *Machine) reviveOne() {
+func (m *Machine) probeDead() {
 	var dead []*entry
 	for _, e := range m.table.entries {
 		if e.claim.Health() == member.HealthDead && e.region() == m.region() {
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -20,8 +20,8 @@
 	rendezvousSpread = 8 * time.Second
 	// rendezvousRetry is the mean time between two reads of a node that knows nobody.
 	rendezvousRetry = 2 * time.Second
-	// rendezvousPatience is how long a node that knows nobody tries addresses written before its start.
-	rendezvousPatience = 5 * time.Second
+	// rendezvousGrace is how long a node that knows nobody tries addresses written before its start.
+	rendezvousGrace = 5 * time.Second
 	// rendezvousBackoff bounds the time between two reads while the log fails.
 	rendezvousBackoff = 30 * time.Second
 	// rendezvousTail is the number of entries read from the end of the stream.
@@ -34,10 +34,10 @@
 	rendezvousStale = 10 * time.Minute
 	// rendezvousEntry bounds an entry, in bytes.
 	rendezvousEntry = 1024
-	// hintPeriod is the mean time between two contacts of a young node with hints.
+	// hintPeriod is the mean time between two contacts of a starting node with hints.
 	hintPeriod = 2 * time.Second
-	// hintYouth is how long a node counts as young.
-	hintYouth = time.Minute
+	// hintStartup is how long a node counts as starting.
+	hintStartup = time.Minute
 )
 
 // rendezvous is the state of a node's use of the stream.
@@ -67,36 +67,36 @@
 // rendezvousTick reads the stream when this node knows nobody or is a gateway.
 func (m *Machine) rendezvousTick() {
 	m.contactHint()
-	if m.meet.waiting || m.now.Before(m.meet.at) {
+	if m.rendezvous.waiting || m.now.Before(m.rendezvous.at) {
 		return
 	}
 	if m.sync.joined && m.gatewayRank() < 0 {
-		m.meet.at = m.now.Add(m.settings.RendezvousRead)
+		m.rendezvous.at = m.now.Add(m.settings.RendezvousRead)
 		return
 	}
 	m.readTail()
 }
 
 func (m *Machine) readTail() {
-	m.meet.waiting = true
-	m.out = append(m.out, message.NewReadLog(message.StreamRendezvous, m.meet.next, 0))
+	m.rendezvous.waiting = true
+	m.out = append(m.out, message.NewReadLog(message.StreamRendezvous, m.rendezvous.next, 0))
 }
 
 // contactHint compares views with a hint that is not a live member, so that fleets which formed apart
-// meet without the log. Every node does so while it is young, later only gateways do, and less often.
+// meet without the log. Every node does so while it is starting, later only gateways do, and less often.
 func (m *Machine) contactHint() {
-	if !m.sync.joined || len(m.settings.Hints) == 0 || m.now.Before(m.meet.hintAt) {
+	if !m.sync.joined || len(m.settings.Hints) == 0 || m.now.Before(m.rendezvous.hintAt) {
 		return
 	}
-	young := m.now.Sub(m.started) < hintYouth
+	starting := m.now.Sub(m.started) < hintStartup
 	period := m.settings.RendezvousRead
-	if young {
+	if starting {
 		period = hintPeriod
 	}
-	m.meet.hintAt = m.now.Add(period/2 + m.jitter(period))
-	if young || m.gatewayRank() >= 0 {
-		m.meet.hinted++
-		m.contact(m.settings.Hints[m.meet.hinted%len(m.settings.Hints)])
+	m.rendezvous.hintAt = m.now.Add(period/2 + m.jitter(period))
+	if starting || m.gatewayRank() >= 0 {
+		m.rendezvous.hinted++
+		m.contact(m.settings.Hints[m.rendezvous.hinted%len(m.settings.Hints)])
 	}
 }
 
@@ -119,7 +119,7 @@
 		return nil
 	}
 	m.advance(now)
-	m.meet.waiting = false
+	m.rendezvous.waiting = false
 	if m.left {
 		return m.flush()
 	}
@@ -128,11 +128,11 @@
 		return m.flush()
 	}
 	if page.Err() != nil {
-		m.meet.delay = min(max(2*m.meet.delay, rendezvousStart), rendezvousBackoff)
-		m.meet.at = now.Add(m.meet.delay/2 + m.jitter(m.meet.delay))
+		m.rendezvous.delay = min(max(2*m.rendezvous.delay, rendezvousStart), rendezvousBackoff)
+		m.rendezvous.at = now.Add(m.rendezvous.delay/2 + m.jitter(m.rendezvous.delay))
 		return m.flush()
 	}
-	m.meet.delay = 0
+	m.rendezvous.delay = 0
 	m.noteEnd(page)
 	m.readEntries(page)
 	m.decideAppend()
@@ -145,24 +145,24 @@
 	if page.Next() > rendezvousTail {
 		tail = max(tail, page.Next()-rendezvousTail)
 	}
-	end := m.meet.next + record.Offset(len(page.Entries()))
-	if page.Next() == 0 || end >= page.Next() && page.Err() == nil || tail <= m.meet.next {
+	end := m.rendezvous.next + record.Offset(len(page.Entries()))
+	if page.Next() == 0 || end >= page.Next() && page.Err() == nil || tail <= m.rendezvous.next {
 		return false
 	}
-	m.meet.next = tail
+	m.rendezvous.next = tail
 	return true
 }
 
 func (m *Machine) noteEnd(page message.LogPage) {
-	if !m.meet.known {
-		m.meet.known, m.meet.end = true, page.Next()
+	if !m.rendezvous.known {
+		m.rendezvous.known, m.rendezvous.end = true, page.Next()
 	}
 }
 
 func (m *Machine) readEntries(page message.LogPage) {
 	contacts := 0
 	for _, e := range slices.Backward(page.Entries()) {
-		m.meet.next = max(m.meet.next, e.Offset()+1)
+		m.rendezvous.next = max(m.rendezvous.next, e.Offset()+1)
 		at, peers, err := m.parseRendezvous(e.Data())
 		if err != nil {
 			continue
@@ -170,11 +170,11 @@
 		if at.After(m.now) {
 			at = m.now
 		}
-		if at.After(m.meet.newest) {
-			m.meet.newest = at
+		if at.After(m.rendezvous.newest) {
+			m.rendezvous.newest = at
 		}
-		if e.Offset() >= m.meet.end {
-			m.meet.grown = m.now
+		if e.Offset() >= m.rendezvous.end {
+			m.rendezvous.grown = m.now
 		}
 		if m.now.Sub(at) >= rendezvousStale {
 			continue
@@ -206,48 +206,48 @@
 	if !m.sync.joined {
 		period = rendezvousRetry
 	}
-	m.meet.at = m.now.Add(period/2 + m.jitter(period))
-	recent := m.now.Sub(m.meet.appended) < m.settings.RendezvousAge
+	m.rendezvous.at = m.now.Add(period/2 + m.jitter(period))
+	recent := m.now.Sub(m.rendezvous.appended) < m.settings.RendezvousAge
 	switch {
-	case m.fresh() || recent || m.meet.pending:
-		m.meet.addAt = time.Time{}
-	case m.meet.addAt.IsZero():
-		m.meet.addAt = m.now.Add(m.jitter(rendezvousSpread))
-	case !m.now.Before(m.meet.addAt):
-		m.meet.addAt = time.Time{}
+	case m.fresh() || recent || m.rendezvous.pending:
+		m.rendezvous.addAt = time.Time{}
+	case m.rendezvous.addAt.IsZero():
+		m.rendezvous.addAt = m.now.Add(m.jitter(rendezvousSpread))
+	case !m.now.Before(m.rendezvous.addAt):
+		m.rendezvous.addAt = time.Time{}
 		m.appendSelf()
 		return
 	}
-	if m.meet.addAt.After(m.now) && m.meet.addAt.Before(m.meet.at) {
-		m.meet.at = m.meet.addAt
+	if m.rendezvous.addAt.After(m.now) && m.rendezvous.addAt.Before(m.rendezvous.at) {
+		m.rendezvous.at = m.rendezvous.addAt
 	}
 }
 
 // fresh tells whether the stream needs no new entry. A node that still knows nobody after it has tried
 // the addresses written before its start trusts only in entries written since.
 func (m *Machine) fresh() bool {
-	if m.now.Sub(m.meet.grown) < m.settings.RendezvousAge {
+	if m.now.Sub(m.rendezvous.grown) < m.settings.RendezvousAge {
 		return true
 	}
-	impatient := !m.sync.joined && m.now.Sub(m.started) >= rendezvousPatience
-	return !impatient && m.now.Sub(m.meet.newest) < m.settings.RendezvousAge
+	overdue := !m.sync.joined && m.now.Sub(m.started) >= rendezvousGrace
+	return !overdue && m.now.Sub(m.rendezvous.newest) < m.settings.RendezvousAge
 }
 
 func (m *Machine) appendSelf() {
-	m.meet.token++
-	m.meet.pending = true
-	m.meet.appended = m.now
+	m.rendezvous.token++
+	m.rendezvous.pending = true
+	m.rendezvous.appended = m.now
 	m.counts.Appends++
 	data := m.formatRendezvous()
-	m.out = append(m.out, message.NewAppendLog(message.StreamRendezvous, m.meet.token, data))
+	m.out = append(m.out, message.NewAppendLog(message.StreamRendezvous, m.rendezvous.token, data))
 }
 
 // LogAppended takes the answer to an append to the rendezvous stream. An append that failed is not
 // tried again before the next read.
 func (m *Machine) LogAppended(now time.Time, a message.LogAppended) []message.Action {
-	if a.Stream() == message.StreamRendezvous && a.Token() == m.meet.token {
+	if a.Stream() == message.StreamRendezvous && a.Token() == m.rendezvous.token {
 		m.advance(now)
-		m.meet.pending = false
+		m.rendezvous.pending = false
 	}
 	return m.flush()
 }
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -19,9 +19,9 @@
 	IndirectProbes int
 	// SuspectTimeout is how long a suspect member may refute before it counts as dead.
 	SuspectTimeout time.Duration
-	// GossipPeriod is the time between two rounds of news.
+	// GossipPeriod is the time between two rounds of gossip.
 	GossipPeriod time.Duration
-	// GossipFanout is the number of members that get the news in a round.
+	// GossipFanout is the number of members that are sent the claims of a round.
 	GossipFanout int
 	// Retention is how long claims of dead and left members are kept.
 	Retention time.Duration
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -16,7 +16,7 @@
 	joinRetry = 500 * time.Millisecond
 	// referrals is the number of members named to a joining node that is not answered in full.
 	referrals = 8
-	// unsettledFactor times SyncSettle is how long differing views are left alone while news come in.
+	// unsettledFactor times SyncSettle is how long differing views are left alone while claims come in.
 	unsettledFactor = 2
 )
 
@@ -75,12 +75,12 @@
 func (m *Machine) compare(from member.Key, s message.Summary, mayStart bool) {
 	m.mergeContacts(from, s.Contacts())
 	e := m.table.byPeer[from.Peer()]
-	stranger := e == nil || from.Incarnation() > e.claim.Key().Incarnation()
-	if s.View() == m.table.hash && !stranger {
+	unknown := e == nil || from.Incarnation() > e.claim.Key().Incarnation()
+	if s.View() == m.table.hash && !unknown {
 		m.sync.agreed = m.now
 		return
 	}
-	if m.left || m.now.Before(m.sync.next) || !(stranger || mayStart && m.unsettled()) {
+	if m.left || m.now.Before(m.sync.next) || !(unknown || mayStart && m.unsettled()) {
 		return
 	}
 	m.sync.next = m.now.Add(syncGap)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -23,8 +23,8 @@
 	rank         uint64    // order among the candidates for a role
 	suspectUntil time.Time // when a suspect of this region counts as dead
 	goneAt       time.Time // when the claim turned dead or left
-	queued       bool      // waits in the queue of news
-	sends        int       // times that the claim was sent as news
+	queued       bool      // waits in the queue of claims to spread
+	sends        int       // times that the claim was sent
 	crossSends   int       // times that the claim has still to be sent to other regions
 }
 
--- a/fleet/news.go
+++ b/fleet/updates.go
@@ -17,7 +17,7 @@
 // retransmitFactor times the decimal logarithm of the fleet's size is how often a node sends one claim.
 const retransmitFactor = 4
 
-// enqueue makes the claim of e news.
+// enqueue lets the claim of e go round the region.
 func (m *Machine) enqueue(e *entry) {
 	e.sends = 0
 	if !e.queued {
@@ -30,8 +30,8 @@
 	return retransmitFactor * int(math.Ceil(math.Log10(float64(len(m.table.entries)+1))))
 }
 
-// news takes claims that fit into room bytes from the queue, least sent first, for copies receivers.
-func (m *Machine) news(room, copies int) []member.Member {
+// updates takes claims that fit into room bytes from the queue, least sent first, for copies receivers.
+func (m *Machine) updates(room, copies int) []member.Member {
 	if len(m.queue) == 0 {
 		return nil
 	}
@@ -55,7 +55,7 @@
 	})
 }
 
-// spread sends the news to some members of the region.
+// spread sends the updates to some members of the region.
 func (m *Machine) spread() {
 	if len(m.queue) == 0 {
 		return
@@ -64,7 +64,7 @@
 	if len(targets) == 0 {
 		return
 	}
-	body := message.NewClaims(m.news(claimsRoom, len(targets)))
+	body := message.NewClaims(m.updates(claimsRoom, len(targets)))
 	for _, e := range targets {
 		m.send(e.peer(), body)
 	}
