--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -30,13 +30,15 @@
 	for _, size := range sizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for range b.N {
-				w := formed(b, 1, size, nil)
+				w := preformed(b, 1, size)
 				for i, n := range w.nodes {
 					n.m.SetDigest(message.NewDigest(record.Version(i), record.Offset(1<<20), 1<<60))
 				}
 				w.run(30 * time.Second)
 				w.resetBytes()
+				b.ResetTimer()
 				w.run(span)
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(size)/span.Seconds(), "ns/node/s")
 				total, most := 0, 0
 				for _, n := range w.nodes {
 					total += n.sent + n.got
@@ -120,7 +122,7 @@
 func BenchmarkTick(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			w := formed(b, 4, size, nil)
+			w := preformed(b, 4, size)
 			w.run(10 * time.Second)
 			n := w.nodes[0]
 			b.ResetTimer()
@@ -137,7 +139,7 @@
 func BenchmarkReceivePing(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			w := formed(b, 4, size, nil)
+			w := preformed(b, 4, size)
 			w.run(10 * time.Second)
 			n, from := w.nodes[0], w.nodes[5]
 			env := message.NewEnvelope(from.m.Self().Key(), message.NewPing(1, from.m.summary(), nil))
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -89,6 +89,21 @@
 	qt.Assert(t, err, qt.ErrorIs, wire.ErrSize)
 }
 
+func BenchmarkFrame(b *testing.B) {
+	for name, body := range map[string]message.Peer{"ping": messages()[0], "claims": messages()[5]} {
+		b.Run(name, func(b *testing.B) {
+			frame, err := wire.Encode(fleetName, sender, body)
+			qt.Assert(b, err, qt.IsNil)
+			b.ReportMetric(float64(len(frame)), "B")
+			b.ReportAllocs()
+			for range b.N {
+				frame, _ = wire.Encode(fleetName, sender, body)
+				_, _ = wire.Decode(fleetName, frame)
+			}
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, body := range messages() {
 		frame, err := wire.Encode(fleetName, sender, body)
