balance: keep the pools of two views, rank servers once

Requests in flight pin the view before the newest. Each switch back rebuilt the pools and forgot the calls in flight to servers that only one view held. The last two views are kept now. Ejections and calls to another region are counted.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,13 +52,18 @@
 	place    member.Place
 	rnd      *rand.Rand
 
-	view    *member.View
-	pools   map[string]*pool
+	recent  [2]generation // newest view first; requests in flight may still use the one before
 	targets map[member.Key]*target
 
 	mayEject func(p *pool, now time.Time) bool // seam
 }
 
+// generation holds the pools of one view.
+type generation struct {
+	view  *member.View
+	pools map[string]*pool
+}
+
 // pool holds the servers of one service that this node sends calls to.
 type pool struct {
 	tiers [distances][]*target
@@ -68,6 +73,7 @@
 // target is what this node knows of one server.
 type target struct {
 	member     member.Member
+	rank       uint64 // rendezvous hash with this node
 	inFlight   int
 	carried    int // calls at the server as carried back, without those from here
 	carriedAt  time.Time
@@ -87,7 +93,6 @@
 		self:     self,
 		place:    place,
 		rnd:      rnd,
-		pools:    make(map[string]*pool),
 		targets:  make(map[member.Key]*target),
 		mayEject: withinEjectionCap,
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -230,6 +230,41 @@
 	c.Assert(spread(m, start.Add(DefaultEjection), view, 1), qt.DeepEquals, map[member.Key]int{key(1): 1})
 }
 
+func TestRequestsOfThePreviousViewChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	old := viewOf(ready(1, here), ready(2, here))
+	spread(m, start, old, 4)
+	m.Started(key(1))
+	fresh := viewOf(ready(1, here), ready(3, here))
+	m.Choose(start, fresh, "orders", nil)
+	inFlight := m.targets[key(1)].inFlight
+	m.Choose(start, old, "orders", nil)
+	m.Choose(start, fresh, "orders", nil)
+	c.Assert(m.targets[key(1)].inFlight, qt.Equals, inFlight)
+	c.Assert(m.targets[key(3)].readySince, qt.Equals, start)
+	m.Choose(start, viewOf(ready(1, here)), "orders", nil)
+	m.Choose(start, viewOf(ready(1, here)), "orders", nil)
+	c.Assert(m.targets, qt.HasLen, 1)
+}
+
+// BenchmarkView580 is the cost of a new view: one node of 580 changes.
+func BenchmarkView580(b *testing.B) {
+	views := make([]*member.View, 3)
+	for v := range views {
+		var members []member.Member
+		for n := range 580 {
+			members = append(members, ready(n+1, []member.Place{here, near, far}[n%3]).WithRevision(uint64(v)))
+		}
+		views[v] = viewOf(members...)
+	}
+	m := newMachine()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		m.Choose(start, views[n%3], "orders", nil)
+	}
+}
+
 func BenchmarkChoose580(b *testing.B) {
 	var members []member.Member
 	for n := range 580 {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -13,35 +13,55 @@
 
 // pool returns the servers of a service, which are worked out anew with each view.
 func (m *Machine) pool(now time.Time, view *member.View, service string) *pool {
-	if view != m.view {
-		m.setView(now, view)
-	}
-	p, ok := m.pools[service]
+	g := m.generation(now, view)
+	p, ok := g.pools[service]
 	if !ok {
-		p = m.newPool(service)
-		m.pools[service] = p
+		p = m.newPool(view, service)
+		g.pools[service] = p
 	}
 	return p
 }
 
-// setView takes over the servers of a view and forgets those that are gone.
-func (m *Machine) setView(now time.Time, view *member.View) {
-	first := m.view == nil
-	m.view = view
-	m.pools = make(map[string]*pool)
+func (m *Machine) generation(now time.Time, view *member.View) *generation {
+	for n := range m.recent {
+		if m.recent[n].view == view {
+			return &m.recent[n]
+		}
+	}
+	m.addView(now, view)
+	return &m.recent[0]
+}
+
+// addView takes over the servers of a view and forgets those that are gone for two views.
+func (m *Machine) addView(now time.Time, view *member.View) {
+	before := m.recent[0].view
+	m.recent[1] = m.recent[0]
+	m.recent[0] = generation{view: view, pools: make(map[string]*pool)}
 	targets := make(map[member.Key]*target, len(m.targets))
+	if before != nil {
+		for _, mem := range before.Members() {
+			if t, ok := m.targets[mem.Key()]; ok {
+				targets[mem.Key()] = t
+			}
+		}
+	}
+	m.update(now, view, targets, before == nil)
+	m.targets = targets
+}
+
+// update brings the targets up to a view.
+func (m *Machine) update(now time.Time, view *member.View, targets map[member.Key]*target, first bool) {
 	for _, mem := range view.Members() {
 		if mem.Server().Service() == "" {
 			continue
 		}
 		t, ok := m.targets[mem.Key()]
 		if !ok {
-			t = &target{}
+			t = &target{rank: m.rank(mem.Key())}
 		}
 		t.update(now, mem, first)
 		targets[mem.Key()] = t
 	}
-	m.targets = targets
 }
 
 func (t *target) update(now time.Time, mem member.Member, first bool) {
@@ -54,9 +74,9 @@
 }
 
 // newPool takes a subset of the servers per distance, so that connections stay few in a large fleet.
-func (m *Machine) newPool(service string) *pool {
+func (m *Machine) newPool(view *member.View, service string) *pool {
 	p := &pool{}
-	for _, mem := range m.view.Service(service) {
+	for _, mem := range view.Service(service) {
 		if t := m.targets[mem.Key()]; t != nil && t.ready {
 			d := m.distance(mem.Place())
 			p.tiers[d] = append(p.tiers[d], t)
@@ -76,7 +96,7 @@
 		return tier
 	}
 	slices.SortFunc(tier, func(a, b *target) int {
-		return cmp.Compare(m.rank(b.member.Key()), m.rank(a.member.Key()))
+		return cmp.Compare(b.rank, a.rank)
 	})
 	return tier[:m.settings.Subset]
 }
--- a/balance/report.go
+++ b/balance/report.go
@@ -59,11 +59,12 @@
 	t.carried++
 }
 
-// Ended records the end of a call for which Started was called.
-func (m *Machine) Ended(now time.Time, key member.Key, result Result) {
+// Ended records the end of a call for which Started was called, and tells whether the server is ejected
+// now for it.
+func (m *Machine) Ended(now time.Time, key member.Key, result Result) (ejected bool) {
 	t, ok := m.targets[key]
 	if !ok {
-		return
+		return false
 	}
 	t.inFlight = max(t.inFlight-1, 0)
 	switch result {
@@ -76,8 +77,9 @@
 	case ResultDraining:
 		t.drainUntil = now.Add(drainMemory)
 	case ResultFailed:
-		m.failed(now, t)
+		return m.failed(now, t)
 	}
+	return false
 }
 
 // Carried records the load that an answer carried back.
@@ -88,18 +90,19 @@
 	}
 }
 
-func (m *Machine) failed(now time.Time, t *target) {
+func (m *Machine) failed(now time.Time, t *target) (ejected bool) {
 	t.failures++
 	if t.failures < m.settings.Failures || now.Before(t.ejected) {
-		return
+		return false
 	}
-	p := m.pool(now, m.view, t.member.Server().Service())
+	p := m.pool(now, m.recent[0].view, t.member.Server().Service())
 	if !m.mayEject(p, now) {
-		return
+		return false
 	}
 	t.failures = 0
 	t.ejected = now.Add(min(m.settings.Ejection<<min(t.ejections, 5), maxEjection))
 	t.ejections++
+	return true
 }
 
 // withinEjectionCap keeps two thirds of the servers of a pool in use, and always one of them.
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -53,10 +53,12 @@
 }
 
 type ingressCounters struct {
-	outcomes map[Outcome]tally.Counter
-	retries  tally.Counter
-	denied   tally.Counter
-	keys     tally.Counter
+	outcomes  map[Outcome]tally.Counter
+	retries   tally.Counter
+	denied    tally.Counter
+	keys      tally.Counter
+	ejections tally.Counter
+	crossing  tally.Counter // idempotent attempts sent to another region
 }
 
 // New returns an ingress.
@@ -74,10 +76,12 @@
 		settings: s,
 		limits:   newLimits(),
 		counters: ingressCounters{
-			outcomes: outcomeCounters(s.Scope.SubScope("ingress")),
-			retries:  s.Scope.Counter("ingress_retries"),
-			denied:   s.Scope.Counter("ingress_retries_denied"),
-			keys:     s.Scope.Counter("ingress_keys_issued"),
+			outcomes:  outcomeCounters(s.Scope.SubScope("ingress")),
+			retries:   s.Scope.Counter("ingress_retries"),
+			denied:    s.Scope.Counter("ingress_retries_denied"),
+			keys:      s.Scope.Counter("ingress_keys_issued"),
+			ejections: s.Scope.Counter("ingress_ejections"),
+			crossing:  s.Scope.Counter("ingress_cross_region"),
 		},
 		calls:   newFlight(),
 		balance: balance.New(s.Balance, s.Self, s.Place, s.Rand),
@@ -257,6 +261,9 @@
 	m, ok := i.balance.Choose(i.settings.Timers.Now(), q.snapshot.View(), q.route.Service(), tried)
 	if ok {
 		i.balance.Started(m.Key())
+		if m.Place().Region() != i.settings.Place.Region() {
+			i.counters.crossing.Inc(1)
+		}
 	}
 	return m, ok
 }
@@ -264,7 +271,9 @@
 func (i *Ingress) ended(key member.Key, result balance.Result) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.balance.Ended(i.settings.Timers.Now(), key, result)
+	if i.balance.Ended(i.settings.Timers.Now(), key, result) {
+		i.counters.ejections.Inc(1)
+	}
 }
 
 func (i *Ingress) carried(key member.Key, header http.Header) {
--- a/call/ingress_keyed.go
+++ b/call/ingress_keyed.go
@@ -107,8 +107,13 @@
 	return i.owners.lookup(q.snapshot.View(), tag)
 }
 
-// ownerIndex finds the members of one view by the tags in request keys.
+// ownerIndex finds the members of a view by the tags in request keys. It keeps the view before the newest
+// too, which requests in flight may still use.
 type ownerIndex struct {
+	recent [2]ownerTable
+}
+
+type ownerTable struct {
 	view  *member.View
 	byTag map[ledger.Tag]member.Member
 	twice map[ledger.Tag]bool
@@ -116,22 +121,29 @@
 
 // lookup returns the member with that tag, and false when there is none or more than one.
 func (x *ownerIndex) lookup(view *member.View, tag ledger.Tag) (member.Member, bool) {
-	if x.view != view {
-		x.build(view)
+	for n := range x.recent {
+		if x.recent[n].view == view {
+			return x.recent[n].member(tag)
+		}
 	}
-	m, ok := x.byTag[tag]
-	return m, ok && !x.twice[tag]
+	x.recent[1] = x.recent[0]
+	x.recent[0] = newOwnerTable(view)
+	return x.recent[0].member(tag)
 }
 
-func (x *ownerIndex) build(view *member.View) {
-	x.view = view
-	x.byTag = make(map[ledger.Tag]member.Member, len(view.Members()))
-	x.twice = make(map[ledger.Tag]bool)
+func newOwnerTable(view *member.View) ownerTable {
+	t := ownerTable{view: view, byTag: make(map[ledger.Tag]member.Member, len(view.Members())), twice: make(map[ledger.Tag]bool)}
 	for _, m := range view.Members() {
 		tag := ledger.TagOf(m.Key())
-		if _, taken := x.byTag[tag]; taken {
-			x.twice[tag] = true
+		if _, taken := t.byTag[tag]; taken {
+			t.twice[tag] = true
 		}
-		x.byTag[tag] = m
+		t.byTag[tag] = m
 	}
+	return t
+}
+
+func (t *ownerTable) member(tag ledger.Tag) (member.Member, bool) {
+	m, ok := t.byTag[tag]
+	return m, ok && !t.twice[tag]
 }
