--- a/admission/gate.go
+++ b/admission/gate.go
@@ -42,6 +42,13 @@
 	g.tell(g.machine.Expire(g.timers.Now()))
 }
 
+// Slots returns the number of slots.
+func (g *Gate) Slots() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Slots()
+}
+
 // Load returns the numbers of running and of queued calls.
 func (g *Gate) Load() (running, queued int) {
 	g.mu.Lock()
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -8,6 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/standin"
 )
 
@@ -73,6 +76,24 @@
 	}
 }
 
+func TestSlotsFollowTheRecord(t *testing.T) {
+	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
+	slots := func() int {
+		f.do("GET", "/browse", "")
+		return f.nodes[0].owner.gate.Slots()
+	}
+	f.c.Assert(slots(), qt.Equals, 4)
+	view := f.snap.Load().View()
+	records := map[record.ID]record.Record{}
+	for _, r := range append(testConfig().Records(), record.NewService(record.Schema1, "orders", 2)) {
+		records[r.ID()] = r
+	}
+	f.snap.Store(message.NewSnapshot(catalog.NewSnapshot(2, record.SchemaNewest, records), view))
+	f.c.Assert(slots(), qt.Equals, 2)
+	f.setView()
+	f.c.Assert(slots(), qt.Equals, 4)
+}
+
 func TestRateOfResource(t *testing.T) {
 	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
 	f.c.Assert(f.do("GET", "/limited", "").outcome, qt.Equals, OutcomeAnswered)
--- a/call/owner.go
+++ b/call/owner.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bambooknot/bambooknot/admission"
+	"github.com/bambooknot/bambooknot/catalog"
 	"github.com/bambooknot/bambooknot/ledger"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
@@ -47,6 +48,7 @@
 	gate     *admission.Gate
 	ledger   *ledger.Ledger
 	backend  atomic.Pointer[backend]
+	sized    atomic.Pointer[catalog.Snapshot] // configuration by which the slots were set, nil if they were not
 	draining atomic.Bool
 	calls    *flight
 	counters ownerCounters
@@ -113,13 +115,25 @@
 // at any time.
 func (o *Owner) SetServer(addr netip.AddrPort, server member.Server) {
 	o.backend.Store(&backend{host: addr.String(), server: server})
-	o.gate.SetSlots(o.slots(server))
+	o.sized.Store(nil)
+}
+
+// resize gives the gate the slots that the configuration in force and the server's announcement make.
+func (o *Owner) resize(server member.Server) {
+	snap := o.snapshot()
+	if snap == nil {
+		o.gate.SetSlots(slots(nil, server))
+		return
+	}
+	if config := snap.Config(); o.sized.Swap(config) != config {
+		o.gate.SetSlots(slots(config, server))
+	}
 }
 
 // slots returns the slots of the service's record, or else what the server announced.
-func (o *Owner) slots(server member.Server) int {
-	if snap := o.snapshot(); snap != nil {
-		if service, ok := snap.Config().Service(server.Service()); ok && service.Slots() > 0 {
+func slots(config *catalog.Snapshot, server member.Server) int {
+	if config != nil {
+		if service, ok := config.Service(server.Service()); ok && service.Slots() > 0 {
 			return service.Slots()
 		}
 	}
@@ -192,6 +206,7 @@
 	if fault != nil {
 		return nil, fault
 	}
+	o.resize(to.server)
 	err := o.gate.Enter(ctx, p, deadline)
 	if err == nil {
 		return to, nil
