balance, call: cross regions only from a saturated one, keep connections of refusals

A full slot in the own region sent calls over the billed link although a place in the queue was free. A refusal closed its connection, since its short body was left unread; under overload that cost a new connection per refused call.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,7 +55,8 @@
 	recent  [2]generation // newest view first; requests in flight may still use the one before
 	targets map[member.Key]*target
 
-	mayEject func(p *pool, now time.Time) bool // seam
+	mayEject func(p *pool, now time.Time) bool   // seam
+	mayCross func(t *target, now time.Time) bool // seam
 }
 
 // generation holds the pools of one view.
@@ -95,6 +96,7 @@
 		rnd:      rnd,
 		targets:  make(map[member.Key]*target),
 		mayEject: withinEjectionCap,
+		mayCross: saturated,
 	}
 }
 
@@ -122,7 +124,10 @@
 func (m *Machine) Choose(now time.Time, view *member.View, service string, tried []member.Key) (member.Member, bool) {
 	p := m.pool(now, view, service)
 	var fallback *target
-	for _, tier := range p.tiers {
+	for d, tier := range p.tiers {
+		if distance(d) == otherRegion && fallback != nil && !m.mayCross(fallback, now) {
+			break
+		}
 		t := m.best(now, tier, tried)
 		if t == nil {
 			continue
@@ -133,7 +138,7 @@
 		if !t.full(now) {
 			return t.member, true
 		}
-		if fallback == nil {
+		if fallback == nil || distance(d) != otherRegion && m.score(now, t) < m.score(now, fallback) {
 			fallback = t
 		}
 	}
@@ -215,6 +220,12 @@
 	return now.Before(t.coolUntil) || t.load(now) >= float64(t.slots())
 }
 
+// saturated tells whether a further call would likely be refused: the queue, as long as there are slots,
+// is full too. The least loaded server of a region being saturated, a call may cross to another region.
+func saturated(t *target, now time.Time) bool {
+	return now.Before(t.coolUntil) || t.load(now) >= float64(2*t.slots())
+}
+
 func (t *target) slots() int { return max(t.member.Server().Slots(), 1) }
 
 // load estimates the calls at the server. What an answer carried back fades with its age.
--- a/call/attempt.go
+++ b/call/attempt.go
@@ -125,7 +125,7 @@
 	q.sent = true
 	i.carried(owner, resp.Header)
 	if f, refused := readRefusal(resp); refused {
-		resp.Body.Close()
+		discard(resp)
 		return attempt{fault: f}
 	}
 	return attempt{resp: resp}
--- a/call/body.go
+++ b/call/body.go
@@ -122,6 +122,15 @@
 
 const copyBuffer = 16 << 10
 
+// discard reads what is left of a short body, so that the connection can be used again.
+func discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+	resp.Body.Close()
+}
+
+// maxDiscard is the size in bytes up to which reading on is cheaper than a new connection.
+const maxDiscard = 4 << 10
+
 // errBroken: an answer ended before its end.
 var errBroken = errors.New("the answer broke off")
 
--- a/call/send.go
+++ b/call/send.go
@@ -50,7 +50,7 @@
 		return nil, &f
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(OutcomeNotRun) {
-		resp.Body.Close()
+		discard(resp)
 		f := notRun(ReasonShed, "the backend server refused the call")
 		if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 			f.retryAfter = time.Duration(s) * time.Second
