call: keep net/http from repeating idempotent calls too

A call nested five deep that broke at the deepest server ran there 6 times where 3 attempts were meant: net/http repeats a GET on its own when a kept connection breaks, once per kept connection, past the retry budget.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -294,7 +294,7 @@
 	if q.route.Idempotent() {
 		delete(req.Header, HeaderKey)
 		setHeader(req.Header, HeaderNoRetry, "1")
-		return req
+		return SendOnce(req)
 	}
 	if !q.first || q.sent {
 		delete(req.Header, HeaderAttempt)
--- a/call/owner.go
+++ b/call/owner.go
@@ -54,7 +54,7 @@
 	counters ownerCounters
 
 	tombstone func(now time.Time, key ledger.Key)   // seam: makes "not run" final
-	protect   func(req *http.Request) *http.Request // seam: keeps net/http from repeating keyed calls
+	protect   func(req *http.Request) *http.Request // seam: keeps net/http from repeating calls
 }
 
 type ownerCounters struct {
@@ -84,7 +84,7 @@
 		counters: newOwnerCounters(s.Scope),
 	}
 	o.tombstone = o.ledger.Refuse
-	o.protect = hideKey
+	o.protect = protect
 	if o.server == nil {
 		o.own = &http.Transport{MaxIdleConnsPerHost: maxServerConns, IdleConnTimeout: serverIdle, DisableCompression: true}
 		o.server = o.own
--- a/call/send.go
+++ b/call/send.go
@@ -76,18 +76,16 @@
 	delete(req.Header, HeaderAttempt)
 	setHeader(req.Header, HeaderDepth, strconv.Itoa(depth(r.Header)+1))
 	setTimeout(req.Header, deadline.Sub(o.timers.Now()))
-	if r.Header.Get(HeaderKey) != "" {
-		return o.protect(req)
-	}
-	return req
+	return o.protect(req)
 }
 
-// hideKey keeps net/http from sending a keyed request twice. Where the method alone does not make
-// net/http repeat a request, the spelling of the header's name is enough.
-func hideKey(req *http.Request) *http.Request {
-	key := req.Header[HeaderKey]
-	delete(req.Header, HeaderKey)
-	req.Header["idempotency-key"] = key
+// protect keeps net/http from sending a request twice. Where the method alone does not make net/http
+// repeat a request, the spelling of the header's name is enough.
+func protect(req *http.Request) *http.Request {
+	if key, ok := req.Header[HeaderKey]; ok {
+		delete(req.Header, HeaderKey)
+		req.Header["idempotency-key"] = key
+	}
 	switch req.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return SendOnce(req)
