--- a/call/attempt.go
+++ b/call/attempt.go
@@ -47,7 +47,7 @@
 			i.pass(q, m.Key(), a.resp, good)
 			return nil
 		}
-		i.ended(m.Key(), faultResult(ctx, a.fault))
+		i.ended(m.Key(), i.faultResult(ctx, q, a.fault))
 		if fault = worse(fault, a.fault); fault.outcome == OutcomeBad {
 			break
 		}
@@ -141,7 +141,12 @@
 	return attempt{fault: unknown(ReasonBroken, "the connection to the node beside the backend server broke")}
 }
 
-func faultResult(ctx context.Context, f refusal) balance.Result {
+// faultResult classes a refusal for the choice of servers. A deadline too short for any server says
+// nothing about this one.
+func (i *Ingress) faultResult(ctx context.Context, q *request, f refusal) balance.Result {
+	if f.reason == ReasonDeadline && q.deadline.Sub(q.started) < minAttempt {
+		return balance.ResultNone
+	}
 	switch f.reason {
 	case ReasonDraining, ReasonNoServer, ReasonWrongServer:
 		return balance.ResultDraining
--- a/call/ingress_keyed.go
+++ b/call/ingress_keyed.go
@@ -36,7 +36,7 @@
 	i.started(owner)
 	a := i.forward(ctx, q, owner)
 	if a.resp == nil {
-		i.ended(owner, faultResult(ctx, a.fault))
+		i.ended(owner, i.faultResult(ctx, q, a.fault))
 	}
 	return a
 }
