call: a test that shows what a swallowed break looks like

With the connection kept open after a broken answer of unknown length, the caller sees a short body that looks whole; the seam proves that the test of long answers looks at the right thing.

--- a/call/attempt.go
+++ b/call/attempt.go
@@ -176,7 +176,8 @@
 		if q.r.Context().Err() != nil {
 			result = balance.ResultNone
 		}
-		panic(http.ErrAbortHandler)
+		i.abort()
+		return
 	}
 	result = balance.ResultAnswered
 	*good = resp.StatusCode < http.StatusInternalServerError
--- a/call/failure_test.go
+++ b/call/failure_test.go
@@ -174,6 +174,20 @@
 	f.c.Assert(f.executions(key), qt.Equals, 1)
 }
 
+func TestCallerCatchesSwallowedBreak(t *testing.T) {
+	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
+	f.ingress.abort = func() {}
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 300<<10))
+		panic(http.ErrAbortHandler)
+	}))
+	defer backend.Close()
+	f.nodes[0].owner.SetServer(addrOf(backend), f.nodes[0].member.Server())
+	got := f.do("GET", "/browse", "")
+	f.c.Assert(got.err, qt.IsNil, qt.Commentf("a short body that looks whole"))
+	f.c.Assert(got.outcome, qt.Equals, OutcomeAnswered)
+}
+
 func TestLongAnswerBreaksVisibly(t *testing.T) {
 	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
 	half := make([]byte, 300<<10)
@@ -328,7 +342,7 @@
 	f := newFleet(t, 4, standin.ServerSettings{Slots: 4, HealthLies: true})
 	dead := f.nodes[0]
 	dead.backend.Close()
-	for range 60 {
+	for range 200 {
 		f.c.Assert(f.do("GET", "/browse", "").outcome, qt.Equals, OutcomeAnswered)
 	}
 }
--- a/call/ingress.go
+++ b/call/ingress.go
@@ -44,6 +44,7 @@
 	limits   *limits
 	counters ingressCounters
 	calls    *flight
+	abort    func() // seam: breaks the connection to the caller
 
 	mu      sync.Mutex // guards what follows
 	balance *balance.Machine
@@ -84,6 +85,7 @@
 			crossing:  s.Scope.Counter("ingress_cross_region"),
 		},
 		calls:   newFlight(),
+		abort:   func() { panic(http.ErrAbortHandler) },
 		balance: balance.New(s.Balance, s.Self, s.Place, s.Rand),
 		budgets: make(map[string]*retry.Budget),
 		owners:  &ownerIndex{},
