--- a/call/call_test.go
+++ b/call/call_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -94,6 +96,37 @@
 	f.c.Assert(slots(), qt.Equals, 4)
 }
 
+// A limit of the ingress node says nothing about an earlier attempt of a key.
+func TestRepeatedKeyIsNeverNotRunByALimit(t *testing.T) {
+	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
+	key, fresh := f.key(f.nodes[0]), f.key(f.nodes[0])
+	f.c.Assert(f.do("POST", "/booking", "x", HeaderKey, key, HeaderAttempt, "1").outcome, qt.Equals, OutcomeAnswered)
+	got := f.do("POST", "/booking", "x", HeaderKey, key)
+	f.c.Assert(got.outcome, qt.Equals, OutcomeUnknown)
+	f.c.Assert(got.reason, qt.Equals, ReasonRate)
+	f.c.Assert(got.status, qt.Equals, http.StatusGatewayTimeout)
+	got = f.do("POST", "/booking", "x", HeaderKey, fresh, HeaderAttempt, "1")
+	f.c.Assert(got.outcome, qt.Equals, OutcomeNotRun)
+	f.c.Assert(f.executions(fresh), qt.Equals, 0)
+}
+
+func TestFinishedCallsAreObserved(t *testing.T) {
+	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
+	var seen []string
+	f.ingress.settings.Observe = func(route record.Route, good bool, _ time.Duration) {
+		seen = append(seen, fmt.Sprint(route.Name(), " ", good))
+	}
+	f.do("GET", "/browse", "")
+	f.do("GET", "/nothing", "")
+	f.do("POST", "/commission", "")
+	f.do("GET", "/limited", "")
+	f.do("GET", "/limited", "")
+	f.nodes[0].server.BreakAnswers(1)
+	f.do("POST", "/browse", "x")
+	f.ingress.Close()
+	f.c.Assert(seen, qt.DeepEquals, []string{"browse true", "limited true", "limited false", "browse false"})
+}
+
 func TestRateOfResource(t *testing.T) {
 	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
 	f.c.Assert(f.do("GET", "/limited", "").outcome, qt.Equals, OutcomeAnswered)
--- a/call/failure_test.go
+++ b/call/failure_test.go
@@ -364,10 +364,11 @@
 	resume := n.server.Stall()
 	ctx, cancel := context.WithCancel(context.Background())
 	key := f.key(n)
-	for _, path := range []string{"/browse", "/commission"} {
+	for _, path := range []string{"/patient", "/commission"} {
 		req, err := http.NewRequestWithContext(ctx, "POST", f.port.URL+path, strings.NewReader("x"))
 		f.c.Assert(err, qt.IsNil)
 		req.Header.Set(HeaderKey, key)
+		req.Header.Set(HeaderNoRetry, "1")
 		go func() {
 			if resp, err := f.client.Do(req); err == nil {
 				resp.Body.Close()
--- a/call/fleet_test.go
+++ b/call/fleet_test.go
@@ -105,6 +105,8 @@
 		record.NewRoute("commission", "/commission", "orders", false),
 		record.NewRoute("elsewhere", "/elsewhere", "other", false),
 		record.NewRoute2("limited", "/limited", "orders", true, 0, []string{"slow"}, record.Objective{}),
+		record.NewRoute2("booking", "/booking", "orders", false, 0, []string{"slow"}, record.Objective{}),
+		record.NewRoute2("patient", "/patient", "orders", true, time.Hour, nil, record.Objective{}),
 		record.NewRoute2("short", "/short", "orders", false, 100*time.Millisecond, nil, record.Objective{}),
 	} {
 		records[r.ID()] = r
