--- a/call/chaos_test.go
+++ b/call/chaos_test.go
@@ -193,7 +193,7 @@
 		x.f.start(n, n.member.Key().Incarnation())
 		n.owner.ledger = ledger.New(ledger.Settings{}, ledger.TagOf(n.member.Key()), time.Unix(0, 0))
 	}
-	for range 20 {
+	for range 200 {
 		x.run(20)
 		if len(x.violations()) > 0 {
 			return
--- a/call/failure_test.go
+++ b/call/failure_test.go
@@ -110,6 +110,7 @@
 	f.c.Assert(got.outcome, qt.Equals, OutcomeNotRun)
 	f.setView()
 	n.peer.Close()
+	f.ingress.settings.Forward.(*http.Transport).CloseIdleConnections() // one that breaks while used is "unknown"
 	key = f.key(n)
 	got = f.do("POST", "/commission", "gate", HeaderKey, key, HeaderAttempt, "1")
 	f.c.Assert(got.outcome, qt.Equals, OutcomeNotRun)
