--- a/call/failure_test.go
+++ b/call/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -89,6 +90,36 @@
 	f.c.Assert(f.do("POST", "/commission", "x", HeaderKey, f.key(f.nodes[0])).outcome, qt.Equals, OutcomeUnknown)
 }
 
+// breakThenRefuse breaks the first request and can't be dialled for the next.
+type breakThenRefuse struct{ requests int }
+
+func (b *breakThenRefuse) RoundTrip(r *http.Request) (*http.Response, error) {
+	b.requests++
+	if b.requests > 1 {
+		return nil, &net.OpError{Op: "dial"}
+	}
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	return nil, io.ErrUnexpectedEOF
+}
+
+func TestBrokenThenUnreachableIsUnknown(t *testing.T) {
+	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
+	forward := &breakThenRefuse{}
+	f.ingress.settings.Forward = forward
+	got := f.do("POST", "/commission", "x", HeaderKey, f.key(f.nodes[0]), HeaderAttempt, "1")
+	f.c.Assert(got.outcome, qt.Equals, OutcomeUnknown)
+	f.c.Assert(forward.requests, qt.Equals, 2)
+}
+
+func TestTwoProcessesWithOneTagGetNoCall(t *testing.T) {
+	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
+	f.nodes = append(f.nodes, f.nodes[0])
+	f.setView()
+	got := f.do("POST", "/commission", "x", HeaderKey, f.key(f.nodes[0]))
+	f.c.Assert(got.outcome, qt.Equals, OutcomeUnknown)
+	f.c.Assert(got.reason, qt.Equals, ReasonOwnerGone)
+}
+
 func TestExecutionsCatchBrokenRestart(t *testing.T) {
 	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
 	n := f.nodes[0]
