control: slow log, isolated nodes and long delays in the schedules

A log whose reads take 5 s counts as down in the check of joins: nobody can make a statement younger than 10 s from it, and the node says that it is unconfirmed.

--- a/control/log_test.go
+++ b/control/log_test.go
@@ -30,11 +30,12 @@
 	refuse  bool
 	lostAck float64 // share of appends that are applied but not acknowledged
 	cut     func(n *testNode) bool
-	keep    int       // entries kept per stream, 0 for all
-	reads   int       // of the configuration
-	appends int       // of the configuration
-	isCut   bool      // some nodes are cut from the log
-	upSince time.Time // end of the last outage or cut
+	keep    int           // entries kept per stream, 0 for all
+	reads   int           // of the configuration
+	appends int           // of the configuration
+	slow    time.Duration // further time that a read takes
+	isCut   bool          // some nodes are cut from the log
+	upSince time.Time     // end of the last outage or cut
 
 	appended func(e record.Entry) // sees every entry of the configuration
 }
@@ -122,7 +123,7 @@
 		return
 	}
 	page := l.stream(r.read.Stream()).page(r.read)
-	r.node.event(l.delay(r.node), func() []message.Action { return r.node.core.LogPage(l.net.now, page) })
+	r.node.event(l.delay(r.node)+l.slow, func() []message.Action { return r.node.core.LogPage(l.net.now, page) })
 }
 
 func (s *testStream) page(r message.ReadLog) message.LogPage {
@@ -191,6 +192,16 @@
 	l.outage = false
 }
 
+// tooSlow is the time that reads may take until what they say is too old to confirm a node that joins.
+const tooSlow = 2 * time.Second
+
+func (l *testLog) setSlow(d time.Duration) {
+	if l.slow > tooSlow && d <= tooSlow {
+		l.upSince = l.net.now
+	}
+	l.slow = d
+}
+
 // reconnect ends all cuts between the log and nodes.
 func (l *testLog) reconnect() {
 	if l.isCut {
--- a/control/promise_test.go
+++ b/control/promise_test.go
@@ -135,7 +135,7 @@
 
 func (p *promises) checkJoin(n *testNode, d message.Digest) {
 	if n.core.relay.Unconfirmed() {
-		if !p.net.log.unreachable(n) && p.net.now.Sub(p.net.log.upSince) > 2*staleLimit {
+		if !p.net.log.unreachable(n) && p.net.log.slow <= tooSlow && p.net.now.Sub(p.net.log.upSince) > 2*staleLimit {
 			p.fail(n, "joined without the log, which is up")
 		}
 		return
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -55,6 +55,8 @@
 	{"ack", (*schedule).ack},
 	{"refuse", (*schedule).refuse},
 	{"trim", (*schedule).trim},
+	{"slow", (*schedule).slow},
+	{"isolate", (*schedule).isolate},
 	{"race", (*schedule).race},
 	{"publish", (*schedule).publish},
 	{"publish", (*schedule).publish},
@@ -115,7 +117,7 @@
 func (s *schedule) noise() {
 	s.net.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(s.t, "loss")
 	s.net.duplicate = rapid.SampledFrom([]float64{0, 0.2}).Draw(s.t, "duplicate")
-	s.net.spread = rapid.SampledFrom([]time.Duration{0, 30 * time.Millisecond, 300 * time.Millisecond}).Draw(s.t, "spread")
+	s.net.spread = rapid.SampledFrom([]time.Duration{0, 30 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second}).Draw(s.t, "spread")
 	s.note("noise %v %v %v", s.net.loss, s.net.duplicate, s.net.spread)
 }
 
@@ -139,6 +141,18 @@
 	s.note("refuse %v", s.net.log.refuse)
 }
 
+func (s *schedule) slow() {
+	s.net.log.setSlow(rapid.SampledFrom([]time.Duration{0, time.Second, 5 * time.Second}).Draw(s.t, "slow"))
+	s.note("slow log %v", s.net.log.slow)
+}
+
+func (s *schedule) isolate() {
+	n := s.node()
+	old := s.net.cut
+	s.note("isolate %d", n.index)
+	s.net.cut = func(a, b *testNode) bool { return a == n || b == n || old(a, b) }
+}
+
 // trim drops what the newest checkpoint covers, as a log does whose retention exceeds the period of
 // checkpoints.
 func (s *schedule) trim() {
@@ -185,6 +199,7 @@
 	s.net.loss, s.net.duplicate, s.net.spread = 0, 0, 0
 	s.net.log.up()
 	s.net.log.refuse, s.net.log.lostAck = false, 0
+	s.net.log.setSlow(0)
 	for _, n := range s.net.nodes {
 		if n.down {
 			n.start()
