--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -200,6 +201,7 @@
 	after, _ := w.total()
 	slices.Sort(all)
 	reportTimes(b, all)
+	b.ReportMetric(heapBytes()/float64(n)/1024, "KiB-heap/node")
 	b.ReportMetric(rest.cpu, "µs/s/node-rest")
 	b.ReportMetric(rest.node, "B/s/node-rest")
 	b.ReportMetric(rest.most, "B/s/node-rest-max")
@@ -210,6 +212,14 @@
 	b.ReportMetric((float64(after.bytes-sent.bytes)-rest.node*seconds*float64(n))/changes/float64(n), "B/change/node")
 }
 
+// heapBytes returns the bytes in use after a collection, the simulated network's own included.
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
 type restRates struct{ node, most, far, farRelay, cpu float64 }
 
 // restBytes returns the bytes per second that nodes send, on average and at most, and those between
--- a/control/promise_test.go
+++ b/control/promise_test.go
@@ -13,9 +13,15 @@
 	"github.com/bambooknot/bambooknot/record"
 )
 
+// defaultSchedules is the number of schedules drawn unless -rapid.checks says otherwise.
+const defaultSchedules = "20"
+
 // TestMain fixes the seed of rapid, so that all runs draw the same schedules.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	if checks := flag.Lookup("rapid.checks"); checks.Value.String() == checks.DefValue {
+		_ = flag.Set("rapid.checks", defaultSchedules)
+	}
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "4")
 	}
