relay: a reader that cannot reach the log is replaced

Cause: a reader cut from the log alone kept its place by its heartbeats; the standby only looked at the log every 10 s, so changes took as long. Heartbeats that say that the log cannot be read no longer calm the next three in the order, unless they failed themselves within 5 s. A reader says what its own reads tell, lest two readers believe each other.

--- a/control/operate_test.go
+++ b/control/operate_test.go
@@ -89,6 +89,34 @@
 	}
 }
 
+// TestReaderThatCannotReachTheLogIsReplaced cuts the log reader, and its standby too, from the log only.
+func TestReaderThatCannotReachTheLogIsReplaced(t *testing.T) {
+	c := quicktest.New(t)
+	w := joinedNetwork(t, 13, 30, 3)
+	cut := make(map[*testNode]bool)
+	w.log.cut = func(n *testNode) bool { return cut[n] }
+	for i := range 2 {
+		cut[w.reader()] = true
+		for _, n := range w.nodes {
+			if roles := n.core.relay.Roles(); len(roles) > 0 && roles[0] == "standby log reader" {
+				cut[n] = true
+			}
+		}
+		fillLogOne(t, w, 100+i)
+		c.Assert(w.runUntil(healBound, w.settled), quicktest.IsTrue, quicktest.Commentf("round %d: %s", i, w.describe()))
+	}
+	for i := range 20 {
+		fillLogOne(t, w, 200+i)
+		c.Assert(w.runUntil(time.Second, w.settled), quicktest.IsTrue, quicktest.Commentf("change %d: %s", i, w.describe()))
+		w.run(3 * time.Second)
+	}
+	clear(cut)
+	w.run(healBound)
+	reads := w.log.reads
+	w.run(20 * time.Second)
+	c.Assert(w.log.reads-reads <= 11, quicktest.IsTrue, quicktest.Commentf("%d reads by more than one reader", w.log.reads-reads))
+}
+
 // TestRetentionPassesDuringAnOutage lets the log lose all its entries while it is down. The nodes hold
 // the state and write it into the log when it is back, so that a fleet that restarts finds it there.
 func TestRetentionPassesDuringAnOutage(t *testing.T) {
--- a/relay/push.go
+++ b/relay/push.go
@@ -182,7 +182,7 @@
 	if m.known.guarded(now) {
 		return
 	}
-	if m.calms(push.Origin().Peer()) {
+	if m.calms(push.Origin().Peer()) && !m.mayDoBetter(now, push.Entries().Statement()) {
 		m.known.heardAt = now
 		m.log.lone = m.settings.SilenceLone + m.jitter(m.settings.SilenceJitter)
 	}
--- a/relay/read.go
+++ b/relay/read.go
@@ -19,6 +19,8 @@
 	notBefore time.Time     // no read is ordered before
 	lone      time.Duration // silence after which this node reads whatever its rank
 	failures  int
+	okAt      time.Time       // when the last read that succeeded was ordered
+	failedAt  time.Time       // when a read failed last
 	fault     error           // why the last read failed, or nil
 	gap       bool            // the log has trimmed entries that this node lacks
 	loader    *catalog.Loader // loads from the trimmed stream, or nil
@@ -65,6 +67,24 @@
 	return quiet > m.log.lone
 }
 
+// statementAsReader is the statement that a log reader pushes: whether the log is up as far as its own
+// reads tell, lest two readers believe each other.
+func (m *Machine) statementAsReader(now time.Time) message.Statement {
+	up := m.log.fault == nil && !m.log.okAt.IsZero() && now.Sub(m.log.okAt) <= m.settings.StatementAge
+	s := m.statement(now)
+	if !s.Known() {
+		return message.NewSilence(up)
+	}
+	return message.NewStatement(s.Next(), s.Age(), up)
+}
+
+// mayDoBetter tells whether this node should try the log because a reader says that it cannot read it:
+// the next few in the order, unless they have failed themselves a short time ago.
+func (m *Machine) mayDoBetter(now time.Time, s message.Statement) bool {
+	place := m.place()
+	return !s.Up() && place > 0 && place < standbyPlaces && m.join.done && now.Sub(m.log.failedAt) > m.settings.Silence
+}
+
 // calms tells whether a push of origin means that this node need not read the log. An active reader
 // gives way only to one that comes before it.
 func (m *Machine) calms(origin netip.AddrPort) bool {
@@ -78,18 +98,9 @@
 	return rank >= 0 && rank < m.plan.rankOf(m.self.Place().Region(), m.self.Key().Peer())
 }
 
-// probes tells whether a node that is no reader should try the log because the readers say they
-// cannot read it: the standby, and the first of each other region.
-func (m *Machine) probes(now time.Time) bool {
-	return !m.log.active && m.join.done && m.place() == 1 && m.logDown(now)
-}
-
 // readLog orders the next read.
 func (m *Machine) readLog(now time.Time) {
-	if m.log.waiting || now.Before(m.log.notBefore) {
-		return
-	}
-	if !m.log.active && !m.probes(now) {
+	if !m.log.active || m.log.waiting || now.Before(m.log.notBefore) {
 		return
 	}
 	m.log.waiting = true
@@ -114,7 +125,7 @@
 
 func (m *Machine) readFailed(now time.Time, err error) {
 	m.log.failures++
-	m.log.fault = err
+	m.log.fault, m.log.failedAt = err, now
 	wait := m.settings.ReadRetry >> max(0, 3-m.log.failures)
 	m.log.notBefore = now.Add(wait/2 + m.jitter(wait/2))
 }
@@ -124,7 +135,7 @@
 		m.readFailed(now, errLogShort)
 		return
 	}
-	m.log.failures, m.log.fault = 0, nil
+	m.log.failures, m.log.fault, m.log.okAt = 0, nil, m.log.asked
 	digest := m.holding.digest()
 	m.writer.noteFirst(page.First())
 	if m.load(now, page) {
@@ -166,7 +177,7 @@
 		entries = nil // a backlog that the others had better pull
 		before = m.holding.digest()
 	}
-	m.originate(now, message.NewEntries(before.Head(), before.Chain(), entries, m.holding.digest(), m.statement(now)))
+	m.originate(now, message.NewEntries(before.Head(), before.Chain(), entries, m.holding.digest(), m.statementAsReader(now)))
 }
 
 // beat pushes a heartbeat when the reader has pushed nothing for a period.
@@ -175,5 +186,5 @@
 		return
 	}
 	d := m.holding.digest()
-	m.originate(now, message.NewEntries(d.Head(), d.Chain(), nil, d, m.statement(now)))
+	m.originate(now, message.NewEntries(d.Head(), d.Chain(), nil, d, m.statementAsReader(now)))
 }
