relay: leave the digest out of answers to entries across regions; tests of small fleets, leaving, old binaries

Crossing of a change (push and report, at 40 nodes): 273.6 B before, 262.4 B after, of which 89.5 B are the compressed delta (go test ./control -run xxx -bench Crossing -benchtime 1x).

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -259,7 +259,7 @@
 }
 
 func benchmarkCrossing(b *testing.B, records int) {
-	const changes = 10
+	const changes = 40
 	w := settledNetwork(b, 2, 40)
 	s := newStopwatch(w)
 	before := w.farRelay
@@ -275,7 +275,7 @@
 		delta += s.put(b, record.NewChangeSet(testPublish(2000+i), "operator", w.version(), puts, nil))
 		w.run(500 * time.Millisecond)
 		gross += w.farRelay.bytes - far
-		w.run(10 * time.Second)
+		w.run(8*time.Second + time.Duration(w.rnd.Int64N(int64(4*time.Second))))
 	}
 	passed := w.now.Sub(start)
 	bytes := w.farRelay.bytes - before.bytes
--- a/control/level_test.go
+++ b/control/level_test.go
@@ -89,3 +89,18 @@
 		}
 	}
 }
+
+func TestANodeTooOldDoesNotJoin(t *testing.T) {
+	c := quicktest.New(t)
+	w := mixedNetwork(c, 0)
+	putChange(t, w, levelRaise(1))
+	w.run(2 * time.Second)
+	w.newest = func(int) record.Schema { return record.SchemaNewest }
+	n := w.nodes[3]
+	n.kill()
+	n.start()
+	w.run(time.Minute)
+	status := n.core.Status(w.now)
+	c.Check(status.Stage(), quicktest.Equals, message.StageJoining)
+	c.Check(status.NeedLevel(), quicktest.Equals, schema3)
+}
--- a/control/operate_test.go
+++ b/control/operate_test.go
@@ -218,3 +218,38 @@
 		c.Check(receipts[0].State(), quicktest.Equals, test.want, quicktest.Commentf(test.name))
 	}
 }
+
+func TestSmallFleetsJoin(t *testing.T) {
+	tests := []struct {
+		name  string
+		nodes []int // of a network, even ones stand in the region of the log
+	}{{"one", []int{0}}, {"one far", []int{1}}, {"two", []int{0, 1}}, {"two far", []int{1, 3}}, {"three", []int{0, 1, 2}}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			w := newTestNetwork(14, 4)
+			fillLog(t, w, 30)
+			var nodes []*testNode
+			for _, i := range test.nodes {
+				nodes = append(nodes, w.nodes[i])
+			}
+			w.nodes = nodes
+			w.start(0)
+			c.Assert(w.runUntil(healBound, w.allJoined), quicktest.IsTrue, quicktest.Commentf("%s", w.describe()))
+			fillLogOne(t, w, 100)
+			c.Assert(w.runUntil(time.Second, w.settled), quicktest.IsTrue, quicktest.Commentf("%s", w.describe()))
+		})
+	}
+}
+
+func TestLeavingReaderHandsOver(t *testing.T) {
+	c := quicktest.New(t)
+	w := joinedNetwork(t, 15, 20, 3)
+	n := w.reader()
+	n.do(n.core.Leave(w.now))
+	c.Assert(n.core.Status(w.now).Stage(), quicktest.Equals, message.StageDraining)
+	w.run(3 * time.Second)
+	fillLogOne(t, w, 100)
+	c.Assert(w.runUntil(healBound, w.settled), quicktest.IsTrue, quicktest.Commentf("%s", w.describe()))
+	c.Assert(w.reader() != n, quicktest.IsTrue)
+}
--- a/relay/census.go
+++ b/relay/census.go
@@ -61,16 +61,20 @@
 	return behind[:min(len(behind), censusLaggards)]
 }
 
-// report answers a push. Only the parent gets the census, lest a node be counted twice. Across regions the answer to entries leaves the census to that to the next
-// heartbeat, and an origin of zero means the receiver.
+// report answers a push. Only the parent gets the census, lest a node be counted twice. Across regions
+// the answer to entries leaves digest and census to that to the next heartbeat. An origin of zero means
+// the receiver.
 func (m *Machine) report(now time.Time, to netip.AddrPort, push message.Push) {
 	digest, census, origin := m.holding.digest(), m.subtree(now), push.Origin()
 	if origin.Peer() == to {
 		origin = member.Key{}
 	}
-	if to != m.tree.parent || m.isFar(to) && len(push.Entries().Items()) > 0 {
+	if to != m.tree.parent {
 		census = message.Census{}
 	}
+	if m.isFar(to) && len(push.Entries().Items()) > 0 {
+		census, digest = message.Census{}, message.Digest{}
+	}
 	m.send(to, message.NewReport(origin, push.Seq(), digest, census))
 }
 
