--- a/relay/pull.go
+++ b/relay/pull.go
@@ -16,11 +16,15 @@
 	sent      time.Time
 	notBefore time.Time
 	tries     int
+	failures  int            // pulls without an answer in a row
 	ahead     netip.AddrPort // a peer known to hold more, or zero
 	aheadAt   time.Time      // since when
 	avoid     netip.AddrPort // the peer that did not answer, or was busy, last
 }
 
+// maxPullBackoff bounds how often the time to wait for an answer is doubled: a whole state may take long.
+const maxPullBackoff = 3
+
 // see notes that a peer is ahead.
 func (p *puller) see(now time.Time, peer netip.AddrPort, _ message.Digest) {
 	if !p.ahead.IsValid() {
@@ -34,8 +38,9 @@
 // pull asks a peer when this node is behind, is joining, or hears no log reader.
 func (m *Machine) pull(now time.Time) {
 	p := &m.puller
-	if p.waiting && now.Sub(p.sent) > m.settings.PullTimeout {
+	if p.waiting && now.Sub(p.sent) > m.settings.PullTimeout<<min(p.failures, maxPullBackoff) {
 		p.waiting = false
+		p.failures++
 		p.avoid = p.to
 		p.notBefore = now.Add(m.jitter(m.settings.PullPeriod / 4))
 	}
@@ -108,16 +113,13 @@
 func (m *Machine) receiveAnswer(now time.Time, from member.Key, a message.Answer) {
 	p := &m.puller
 	if !p.waiting || a.Nonce() != p.nonce || from.Peer() != p.to {
+		m.takeContent(now, from.Peer(), a) // late, but as good as ever but for its statement
 		return
 	}
-	p.waiting = false
+	p.waiting, p.failures = false, 0
 	p.caughtUp()
-	entries := a.Entries()
 	m.hearAnswer(now, from, a)
-	if a.State() != nil {
-		m.takeWhole(a.State())
-	}
-	advanced := m.take(now, from.Peer(), entries) || a.State() != nil
+	advanced := m.takeContent(now, from.Peer(), a)
 	m.reportSoon(now)
 	if a.Busy() {
 		p.avoid = from.Peer()
@@ -129,6 +131,14 @@
 	}
 }
 
+// takeContent folds what an answer carries and tells whether it carried anything new.
+func (m *Machine) takeContent(now time.Time, from netip.AddrPort, a message.Answer) bool {
+	if a.State() != nil {
+		m.takeWhole(a.State())
+	}
+	return m.take(now, from, a.Entries()) || a.State() != nil
+}
+
 // hearAnswer takes what an answer says about the log. Its statement is no older than the pull plus the
 // age stated, however long the answer waited on its way.
 func (m *Machine) hearAnswer(now time.Time, from member.Key, a message.Answer) {
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -15,7 +15,7 @@
 	SilenceLone     time.Duration // least time without a heartbeat after which any node reads the log
 	SilenceJitter   time.Duration // random part added to SilenceLone
 	StartJitter     time.Duration // random part of the wait before a new node reads the log
-	PullTimeout     time.Duration // time within which a pull is answered
+	PullTimeout     time.Duration // time within which a pull is answered, doubled after each failure up to 8 times
 	PullGrace       time.Duration // time that a push may take before a node behind pulls
 	PullPeriod      time.Duration // period of pulls of a node that joins or hears no heartbeat
 	StateRate       float64       // whole states sent per second
@@ -39,7 +39,7 @@
 		ReportTimeout: 400 * time.Millisecond, PushTries: 3,
 		Silence: 5 * time.Second, SilenceStep: 1500 * time.Millisecond,
 		SilenceLone: 10 * time.Second, SilenceJitter: 20 * time.Second, StartJitter: 2 * time.Second,
-		PullTimeout: time.Second, PullGrace: 250 * time.Millisecond, PullPeriod: time.Second,
+		PullTimeout: 500 * time.Millisecond, PullGrace: 250 * time.Millisecond, PullPeriod: time.Second,
 		StateRate: 4, StateBurst: 8, WindowEntries: 256, WindowBytes: 1 << 20, AnswerBytes: 128 << 10,
 		StatementAge: 10 * time.Second, JoinWait: 6 * time.Second, OfferPeers: 3, OfferDomains: 2,
 		CheckpointItems: 200, CheckpointAge: 6 * time.Hour, CheckpointRetry: 10 * time.Second,
