--- a/relay/pull.go
+++ b/relay/pull.go
@@ -22,9 +22,18 @@
 	avoid     netip.AddrPort // the peer that did not answer, or was busy, last
 }
 
-// maxPullBackoff bounds how often the time to wait for an answer is doubled: a whole state may take long.
+// maxPullBackoff bounds how often the time to wait for an answer is doubled.
 const maxPullBackoff = 3
 
+// pullTimeout returns the time to wait for an answer. A node that holds nothing expects a whole state,
+// which may take long; for others, loss is the likelier cause.
+func (m *Machine) pullTimeout() time.Duration {
+	if m.holding.state.Head() > 0 {
+		return m.settings.PullTimeout
+	}
+	return m.settings.PullTimeout << min(m.puller.failures, maxPullBackoff)
+}
+
 // see notes that a peer is ahead.
 func (p *puller) see(now time.Time, peer netip.AddrPort, _ message.Digest) {
 	if !p.ahead.IsValid() {
@@ -38,7 +47,7 @@
 // pull asks a peer when this node is behind, is joining, or hears no log reader.
 func (m *Machine) pull(now time.Time) {
 	p := &m.puller
-	if p.waiting && now.Sub(p.sent) > m.settings.PullTimeout<<min(p.failures, maxPullBackoff) {
+	if p.waiting && now.Sub(p.sent) > m.pullTimeout() {
 		p.waiting = false
 		p.failures++
 		p.avoid = p.to
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -15,7 +15,7 @@
 	SilenceLone     time.Duration // least time without a heartbeat after which any node reads the log
 	SilenceJitter   time.Duration // random part added to SilenceLone
 	StartJitter     time.Duration // random part of the wait before a new node reads the log
-	PullTimeout     time.Duration // time within which a pull is answered, doubled after each failure up to 8 times
+	PullTimeout     time.Duration // time within which a pull is answered; more for a node that holds nothing
 	PullGrace       time.Duration // time that a push may take before a node behind pulls
 	PullPeriod      time.Duration // period of pulls of a node that joins or hears no heartbeat
 	StateRate       float64       // whole states sent per second
