--- a/catalog/review.go
+++ b/catalog/review.go
@@ -23,6 +23,9 @@
 	maxShownName = 64 // bytes
 )
 
+// fieldBase names the base version in faults.
+const fieldBase = "base"
+
 // rule adds the faults of one sort that a change set has.
 type rule func(v *review)
 
@@ -62,7 +65,8 @@
 }
 
 // Check returns the faults that a change set would be refused for if it were the next entry. It changes
-// nothing. Operators learn most mistakes from it before anything is appended.
+// nothing. Operators learn most mistakes from it before anything is appended. A publish that was decided before has
+// the faults of its first outcome.
 func (s *State) Check(c record.ChangeSet) []record.Fault {
 	data, err := codec.EncodeChange(c)
 	if err != nil {
@@ -73,6 +77,12 @@
 		return boundFaults(entryErr.Faults())
 	}
 	change, _ := item.Change()
+	if outcome, ok := s.Outcome(change.Publish()); ok {
+		return outcome.Faults()
+	}
+	if _, ok := s.trace(change); ok {
+		return nil
+	}
 	return boundFaults(s.review(change))
 }
 
@@ -105,7 +115,7 @@
 		v.add(record.ReasonInvalid, record.ID{}, "publish", "the publish ID is missing")
 	}
 	if c.Base() > v.state.version {
-		v.add(record.ReasonInvalid, record.ID{}, "base", "base version %d is above version %d in force", c.Base(), v.state.version)
+		v.add(record.ReasonInvalid, record.ID{}, fieldBase, "base version %d is above version %d in force", c.Base(), v.state.version)
 	}
 	if len(c.Operator()) > maxNameBytes {
 		v.add(record.ReasonInvalid, record.ID{}, "operator", "the name exceeds %d bytes", maxNameBytes)
@@ -114,7 +124,7 @@
 		v.add(record.ReasonInvalid, record.ID{}, "", "the change set changes nothing")
 	}
 	if c.Base() < v.state.horizon && c.Base() < v.state.version {
-		v.add(record.ReasonConflict, record.ID{}, "base",
+		v.add(record.ReasonConflict, record.ID{}, fieldBase,
 			"base version %d is too old: decisions and removals are remembered from version %d on", c.Base(), v.state.horizon)
 	}
 }
--- /dev/null
+++ b/command/publish.go
@@ -0,0 +1,190 @@
+package command
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os/user"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/recordfile"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// retryPause is the time between two attempts of one publish.
+const retryPause = 500 * time.Millisecond
+
+const publishLong = `Publishes the records of a TOML file as one change set, accepted whole or refused whole.
+The base version is that of --base, else that of the file, else the one that the node holds.
+An unknown outcome is tried again under the same publish ID, which counts once.
+
+Exit codes: 0 accepted; 2 faults in the arguments or the file, nothing was sent; 3 refused;
+4 the outcome is not known, publish again with the --publish-id printed; 5 the node or the log
+could not be reached, nothing was published; 6 accepted, but not in force everywhere in time;
+1 any other failure, nothing was published.`
+
+type publishCommand struct {
+	Remote
+	Base      *uint64       `long:"base" value-name:"VERSION" description:"version that the change was prepared against"`
+	PublishID string        `long:"publish-id" value-name:"UUID" description:"identity of the publish, to try again what had an unknown outcome"`
+	Operator  string        `long:"operator" value-name:"NAME" description:"who publishes; default is the file's operator, then the user's name"`
+	Attempts  int           `long:"attempts" value-name:"N" default:"3" description:"how often a publish of unknown outcome is tried, at least once"`
+	JSON      bool          `long:"json" description:"print the receipt, and with --wait the progress, as JSON"`
+	Wait      bool          `long:"wait" description:"wait until the version is in force on every node"`
+	Limit     time.Duration `long:"timeout" value-name:"DURATION" default:"1m" description:"how long --wait waits"`
+	Args      struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	Register("publish", "Publish a record file", publishLong, func() Runner { return &publishCommand{} })
+}
+
+func (c *publishCommand) Run(env Env, _ []string) int {
+	client, err := c.Client()
+	if err != nil {
+		return FailUsage(env, err)
+	}
+	file, err := recordfile.Load(c.Args.File)
+	if err != nil {
+		return FailUsage(env, err)
+	}
+	id, err := c.identity(file)
+	if err != nil {
+		return FailUsage(env, err)
+	}
+	base, err := c.base(client, file)
+	if err != nil {
+		return Fail(env, err)
+	}
+	change := file.ChangeSet(id, c.operator(file), base)
+	receipt, err := c.attempt(client, change)
+	code := c.report(env, change, receipt, err)
+	if code != ExitOK || !c.Wait {
+		return code
+	}
+	return c.Follow(env, client, receipt.Outcome().Version(), c.Limit, c.JSON)
+}
+
+func (c *publishCommand) identity(file recordfile.File) (record.PublishID, error) {
+	if c.PublishID != "" {
+		id, err := uuid.Parse(c.PublishID)
+		if err != nil || id == uuid.Nil {
+			return id, fmt.Errorf("--publish-id %q: allowed is a UUID other than the nil UUID", c.PublishID)
+		}
+		return id, nil
+	}
+	if id, ok := file.Publish(); ok {
+		return id, nil
+	}
+	return uuid.NewV7()
+}
+
+func (c *publishCommand) base(client *operator.Client, file recordfile.File) (record.Version, error) {
+	if c.Base != nil {
+		return record.Version(*c.Base), nil
+	}
+	if base, ok := file.Base(); ok {
+		return base, nil
+	}
+	ctx, cancel := c.Context()
+	defer cancel()
+	status, err := client.Status(ctx)
+	return status.Digest().Version(), err
+}
+
+func (c *publishCommand) operator(file recordfile.File) string {
+	if c.Operator != "" {
+		return c.Operator
+	}
+	if file.Operator() != "" {
+		return file.Operator()
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// attempt publishes until the outcome is known or the attempts are used up.
+func (c *publishCommand) attempt(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
+	wait := PauseOn(timer.New())
+	send := func() (message.Receipt, error) {
+		ctx, cancel := c.Context()
+		defer cancel()
+		return client.Publish(ctx, change)
+	}
+	return publishUntilKnown(c.Attempts, send, func() { wait(retryPause) })
+}
+
+// publishUntilKnown sends a change set up to attempts times, at least once, with a pause in between. It
+// stops when the outcome is known or when it is sure that nothing was published. Once an attempt may have
+// taken effect, no later failure makes that sure.
+func publishUntilKnown(attempts int, send func() (message.Receipt, error), pause func()) (message.Receipt, error) {
+	inDoubt := false
+	var doubt error
+	for i := range max(attempts, 1) {
+		if i > 0 {
+			pause()
+		}
+		receipt, err := send()
+		if err == nil && receipt.State() == message.ReceiptDecided {
+			return receipt, nil
+		}
+		if !inDoubt && nothingPublished(receipt, err) {
+			return receipt, err
+		}
+		inDoubt = true
+		doubt = cmp.Or(err, receipt.Err())
+	}
+	return message.NewUndecided(message.ReceiptUnknown, doubt), nil
+}
+
+func nothingPublished(r message.Receipt, err error) bool {
+	var rejected *operator.RejectedError
+	if err != nil {
+		return operator.NotSent(err) || errors.As(err, &rejected)
+	}
+	return r.State() == message.ReceiptNotAppended
+}
+
+func (c *publishCommand) report(env Env, change record.ChangeSet, r message.Receipt, err error) int {
+	if err != nil {
+		return Fail(env, err)
+	}
+	if c.JSON {
+		printReceiptJSON(env, r)
+	}
+	switch r.State() {
+	case message.ReceiptDecided:
+		return c.reportOutcome(env, r.Outcome())
+	case message.ReceiptNotAppended:
+		fmt.Fprintf(env.Err, "the log did not take the change set, nothing was published: %v\n", r.Err())
+		return ExitUnavailable
+	}
+	fmt.Fprintf(env.Err, "the outcome is not known: %v\ntry again with --publish-id %s --base %d\n", r.Err(), change.Publish(), change.Base())
+	return ExitUnknown
+}
+
+func (c *publishCommand) reportOutcome(env Env, o record.Outcome) int {
+	if !c.JSON {
+		PrintOutcome(env, o)
+	}
+	if !o.Accepted() {
+		return ExitRefused
+	}
+	return ExitOK
+}
+
+func printReceiptJSON(env Env, r message.Receipt) {
+	data, err := operator.EncodeReceipt(r)
+	if err == nil {
+		fmt.Fprintln(env.Out, string(data))
+	}
+}
--- /dev/null
+++ b/recordfile/read.go
@@ -0,0 +1,176 @@
+package recordfile
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/tomldoc"
+)
+
+// maxList is the number of items that a list in a record may hold to be read at all.
+const maxList = 1000
+
+func read(doc *tomldoc.Document) (File, error) {
+	root := doc.Root()
+	f := File{
+		publish:  readPublish(root),
+		operator: root.Text("operator", ""),
+		hasBase:  root.Has("base"),
+		base:     record.Version(root.Int("base", 0, 0, math.MaxInt64)),
+		level:    record.Schema(root.Int("level", 0, 1, math.MaxUint16)),
+	}
+	r := reader{seen: make(map[record.ID]string)}
+	for _, t := range root.Tables("service") {
+		r.put(t, readService(t))
+	}
+	for _, t := range root.Tables("resource") {
+		r.put(t, readResource(t))
+	}
+	for _, t := range root.Tables("route") {
+		r.put(t, readRoute(t))
+	}
+	for _, t := range root.Tables("remove") {
+		r.remove(t)
+	}
+	n := len(r.puts) + len(r.removes)
+	if n > MaxRecords {
+		root.Fault("", "%d records; allowed are %d", n, MaxRecords)
+	}
+	if n == 0 && !root.Has("level") {
+		root.Fault("", "changes nothing; needed is a record, a removal or a level")
+	}
+	if err := doc.Err(); err != nil {
+		return File{}, err
+	}
+	f.puts, f.removes = r.puts, r.removes
+	return f, nil
+}
+
+type reader struct {
+	puts    []record.Record
+	removes []record.ID
+	seen    map[record.ID]string
+}
+
+// put takes a record and notes what the fleet would refuse about its fields.
+func (r *reader) put(t *tomldoc.Table, rec record.Record) {
+	r.note(t, rec.ID())
+	r.puts = append(r.puts, rec)
+	for _, f := range catalog.CheckRecord(rec) {
+		if key := keyOf(f.Field()); !t.Faulty(key) {
+			t.Fault(key, "%s", f.Detail())
+		}
+	}
+}
+
+// keyOf returns the key of a record's table that holds the field of a fault.
+func keyOf(field string) string {
+	if field == "target" || field == "latency" {
+		return "objective." + field
+	}
+	return field
+}
+
+func (r *reader) remove(t *tomldoc.Table) {
+	name := t.Choice("kind", "", record.KindService.String(), record.KindResource.String(), record.KindRoute.String())
+	t.Require("kind", "service, resource or route")
+	kind, _ := record.ParseKind(name)
+	t.Require("name", "the name of the record")
+	id := record.NewID(kind, t.Text("name", ""))
+	r.note(t, id)
+	r.removes = append(r.removes, id)
+}
+
+// note faults a record that the file mentions twice.
+func (r *reader) note(t *tomldoc.Table, id record.ID) {
+	if id.Name() == "" {
+		return
+	}
+	if other, ok := r.seen[id]; ok {
+		t.Fault("name", "%q; allowed is each record once, but %s has it already", id.Name(), other)
+		return
+	}
+	r.seen[id] = t.Path()
+}
+
+func readPublish(t *tomldoc.Table) record.PublishID {
+	text := t.Match("publish_id", validPublish, "a UUID other than the nil UUID")
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return uuid.Nil
+	}
+	return id
+}
+
+func validPublish(text string) bool {
+	id, err := uuid.Parse(text)
+	return err == nil && id != uuid.Nil
+}
+
+func readSchema(t *tomldoc.Table) record.Schema {
+	t.Require("schema", fmt.Sprintf("the format of the record, 1 to %d", record.SchemaNewest))
+	return record.Schema(t.Int("schema", int64(record.SchemaNewest), int64(record.Schema1), int64(record.SchemaNewest)))
+}
+
+func readName(t *tomldoc.Table) string {
+	t.Require("name", "a name without spaces and slashes")
+	return t.Text("name", "")
+}
+
+func readService(t *tomldoc.Table) record.Service {
+	return record.NewService(readSchema(t), readName(t), t.AnyInt("slots", 0))
+}
+
+func readResource(t *tomldoc.Table) record.Resource {
+	schema, name := readSchema(t), readName(t)
+	t.Require("rate", "calls per second and node")
+	t.Require("burst", "a number of calls")
+	return record.NewResource(schema, name, t.AnyFloat("rate", 0), t.AnyInt("burst", 0))
+}
+
+func readRoute(t *tomldoc.Table) record.Route {
+	schema, name := readSchema(t), readName(t)
+	t.Require("path", "a path that starts with a slash")
+	t.Require("service", "the name of a service")
+	t.Require("idempotent", "true or false")
+	path, service, idempotent := t.Text("path", ""), t.Text("service", ""), t.Bool("idempotent", false)
+	if schema == record.Schema1 {
+		return record.NewRoute(name, path, service, idempotent)
+	}
+	timeout := readTimeout(t)
+	resources := t.Texts("resources", maxList)
+	if len(resources) == 0 {
+		resources = nil
+	}
+	return record.NewRoute2(name, path, service, idempotent, timeout, resources, readObjective(t))
+}
+
+// readTimeout faults timeouts that a route would take for none at all.
+func readTimeout(t *tomldoc.Table) time.Duration {
+	timeout := t.AnyDuration("timeout", record.DefaultTimeout)
+	if timeout <= 0 {
+		t.Fault("timeout", "%q; allowed is a duration above 0", timeout)
+	}
+	return timeout
+}
+
+// readObjective faults an objective that would be taken for none at all.
+func readObjective(t *tomldoc.Table) record.Objective {
+	set := t.Has("objective")
+	o := t.Table("objective")
+	if !set {
+		return record.Objective{}
+	}
+	o.Require("target", "a share of good calls, such as 0.999")
+	o.Require("latency", "a duration, such as \"250ms\"")
+	objective := record.NewObjective(o.AnyFloat("target", 0), o.AnyDuration("latency", 0))
+	if objective.IsZero() && !o.Faulty("target") && !o.Faulty("latency") {
+		t.Fault("objective", "promises nothing; allowed is a target between 0 and 1 and a latency above 0")
+	}
+	return objective
+}
--- /dev/null
+++ b/rig/operate.go
@@ -0,0 +1,34 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"time"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
+)
+
+const requestTimeout = 5 * time.Second
+
+// Status asks node i for its status.
+func (f *Fleet) Status(i int) (message.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	return operator.NewClient(f.Operators(i), fleetName, http.DefaultClient).Status(ctx)
+}
+
+// Operate runs a bambooknot command against the operators' port of node i and returns what it printed.
+func (f *Fleet) Operate(i int, args ...string) (string, error) {
+	args = append(args, "--node", f.Operators(i).String(), "--fleet", fleetName)
+	cmd := exec.Command(f.Program("bambooknot"), args...)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Run(); err != nil {
+		return out.String(), fmt.Errorf("bambooknot %v: %w\n%s", args, err, &out)
+	}
+	return out.String(), nil
+}
