--- /dev/null
+++ b/control/baseline_test.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bambooknot/bambooknot/catalog"
+	"github.com/bambooknot/bambooknot/codec"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/relay"
+	"github.com/bambooknot/bambooknot/wire"
+)
+
+// pollBytes is what one read of the log costs over HTTP, both ways: 180 bytes of request, 160 of
+// response header, 3 segments.
+const pollBytes = 180 + 160 + 3*tcpHeader
+
+// benchmarkPoll models the baseline in which every node reads the log once a second.
+func benchmarkPoll(b *testing.B, n int) {
+	const changes = 20
+	const period = time.Second
+	w := newTestNetwork(1, n)
+	entry, err := codec.EncodeChange(testChange(1, 0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var all []time.Duration
+	far := 0
+	for range changes {
+		for _, node := range w.nodes {
+			wait := time.Duration(w.rnd.Int64N(int64(period)))
+			all = append(all, wait+w.log.delay(node))
+			if node.place.Region() != logRegion {
+				far++
+			}
+		}
+	}
+	slices.Sort(all)
+	reportTimes(b, all)
+	b.ReportMetric(pollBytes, "B/s/node-rest")
+	b.ReportMetric(float64(far)/changes*pollBytes, "B/s-far-rest")
+	b.ReportMetric(float64(far)/changes*float64(len(entry)), "B-far/change")
+	b.ReportMetric(float64(len(entry)), "B/change/node")
+	b.ReportMetric(float64(n), "log-reads/s")
+}
+
+// benchmarkState models the baseline in which the log reader pushes the whole state down the same tree,
+// over a stream per hop, which needs a round trip to open.
+func benchmarkState(b *testing.B, n int) {
+	state := catalog.New()
+	w := newTestNetwork(1, n)
+	w.log.appended = func(e record.Entry) { _, _ = state.Apply(e) }
+	fillLog(b, w, 250)
+	data, err := state.Checkpoint()
+	if err != nil {
+		b.Fatal(err)
+	}
+	size := frameBytes(len(data) + wire.MaxDatagram)
+	hops := treeDepth(n/2, relay.Defaults().Fanout)
+	b.ReportMetric(float64((2*nearDelay+3*farDelay+time.Duration(3*hops)*nearDelay)/time.Millisecond), "ms-max")
+	b.ReportMetric(float64(len(data)), "B-state")
+	b.ReportMetric(float64(size), "B-far/change")
+	b.ReportMetric(float64(size), "B/change/node")
+}
+
+func treeDepth(nodes, fanout int) int {
+	depth := 0
+	for reach := 1; reach < nodes; reach = reach*fanout + 1 {
+		depth++
+	}
+	return depth
+}
+
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -7,14 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/bambooknot/bambooknot/catalog"
 	"github.com/bambooknot/bambooknot/codec"
-	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/record"
-	"github.com/bambooknot/bambooknot/relay"
 	"github.com/bambooknot/bambooknot/timer"
-	"github.com/bambooknot/bambooknot/wire"
 )
 
 // stopwatch notes when each node has a version in force.
@@ -113,66 +109,6 @@
 	}
 }
 
-// pollBytes is what one read of the log costs over HTTP, both ways: 180 bytes of request, 160 of
-// response header, 3 segments.
-const pollBytes = 180 + 160 + 3*tcpHeader
-
-// benchmarkPoll models the baseline in which every node reads the log once a second.
-func benchmarkPoll(b *testing.B, n int) {
-	const changes = 20
-	const period = time.Second
-	w := newTestNetwork(1, n)
-	entry, err := codec.EncodeChange(testChange(1, 0))
-	if err != nil {
-		b.Fatal(err)
-	}
-	var all []time.Duration
-	far := 0
-	for range changes {
-		for _, node := range w.nodes {
-			wait := time.Duration(w.rnd.Int64N(int64(period)))
-			all = append(all, wait+w.log.delay(node))
-			if node.place.Region() != logRegion {
-				far++
-			}
-		}
-	}
-	slices.Sort(all)
-	reportTimes(b, all)
-	b.ReportMetric(pollBytes, "B/s/node-rest")
-	b.ReportMetric(float64(far)/changes*pollBytes, "B/s-far-rest")
-	b.ReportMetric(float64(far)/changes*float64(len(entry)), "B-far/change")
-	b.ReportMetric(float64(len(entry)), "B/change/node")
-	b.ReportMetric(float64(n), "log-reads/s")
-}
-
-// benchmarkState models the baseline in which the log reader pushes the whole state down the same tree,
-// over a stream per hop, which needs a round trip to open.
-func benchmarkState(b *testing.B, n int) {
-	state := catalog.New()
-	w := newTestNetwork(1, n)
-	w.log.appended = func(e record.Entry) { _, _ = state.Apply(e) }
-	fillLog(b, w, 250)
-	data, err := state.Checkpoint()
-	if err != nil {
-		b.Fatal(err)
-	}
-	size := frameBytes(len(data) + wire.MaxDatagram)
-	hops := treeDepth(n/2, relay.Defaults().Fanout)
-	b.ReportMetric(float64((2*nearDelay+3*farDelay+time.Duration(3*hops)*nearDelay)/time.Millisecond), "ms-max")
-	b.ReportMetric(float64(len(data)), "B-state")
-	b.ReportMetric(float64(size), "B-far/change")
-	b.ReportMetric(float64(size), "B/change/node")
-}
-
-func treeDepth(nodes, fanout int) int {
-	depth := 0
-	for reach := 1; reach < nodes; reach = reach*fanout + 1 {
-		depth++
-	}
-	return depth
-}
-
 func reportTimes(b *testing.B, sorted []time.Duration) {
 	b.ReportMetric(quantile(sorted, 0.5), "ms-median")
 	b.ReportMetric(quantile(sorted, 0.99), "ms-p99")
@@ -287,91 +223,6 @@
 	b.ReportMetric(far/(float64(delta)/changes), "times-delta")
 }
 
-// BenchmarkFault measures the time until a change is in force on all nodes that live when it meets a
-// fault, or after the fault's end.
-func BenchmarkFault(b *testing.B) {
-	faults := []struct {
-		name string
-		run  func(w *network) // before the change
-		heal func(w *network) // after it, or nil
-	}{
-		{"reader-dies", func(w *network) { w.reader().kill() }, nil},
-		{"reader-paused", func(w *network) { w.reader().pause() }, func(w *network) { w.resumeAll() }},
-		{"loss=0.05", func(w *network) { w.loss = 0.05 }, nil},
-		{"loss=0.2", func(w *network) { w.loss = 0.2 }, nil},
-		{"domain-dies", func(w *network) { w.killDomain(w.reader().place.FailureDomain()) }, nil},
-		{"far-domain-dies", func(w *network) { w.killDomain("w0") }, nil},
-		{"split", func(w *network) { w.split() }, func(w *network) { w.run(30 * time.Second); w.mend() }},
-		{"outage", func(w *network) { w.log.outage = true }, func(w *network) { w.run(30 * time.Second); w.log.up() }},
-	}
-	for _, f := range faults {
-		b.Run(f.name, func(b *testing.B) {
-			var all []time.Duration
-			for b.Loop() {
-				all = nil
-				for seed := range uint64(5) {
-					w := settledNetwork(b, 20+seed, 100)
-					f.run(w)
-					all = append(all, faultTimes(b, w, f.heal)...)
-				}
-			}
-			slices.Sort(all)
-			reportTimes(b, all)
-		})
-	}
-}
-
-// faultTimes appends a change, heals, and returns the times from the later of the two.
-func faultTimes(b *testing.B, w *network, heal func(w *network)) []time.Duration {
-	s := newStopwatch(w)
-	for i := range s.arrived {
-		s.arrived[i] = -1
-	}
-	s.begin, s.version = w.now, record.Version(w.log.next()+1)
-	putChange(b, w, testChange(5000, w.version()))
-	if heal != nil {
-		heal(w)
-		s.begin = w.now
-	}
-	var times []time.Duration
-	if !w.runUntil(30*time.Second, w.settled) {
-		b.Fatal("not settled within 30 s: " + w.describe())
-	}
-	for i, n := range w.nodes {
-		if !n.down {
-			times = append(times, max(s.arrived[i], 0))
-		}
-	}
-	return times
-}
-
-func (w *network) resumeAll() {
-	w.run(5 * time.Second)
-	for _, n := range w.nodes {
-		if n.paused {
-			n.resume()
-		}
-	}
-}
-
-func (w *network) killDomain(domain member.FailureDomain) {
-	for _, n := range w.nodes {
-		if n.place.FailureDomain() == domain {
-			n.kill()
-		}
-	}
-}
-
-func (w *network) split() {
-	w.cut = func(a, b *testNode) bool { return a.place.Region() != b.place.Region() }
-	w.log.cut = func(n *testNode) bool { return n.place.Region() != logRegion }
-}
-
-func (w *network) mend() {
-	w.cut = func(_, _ *testNode) bool { return false }
-	w.log.reconnect()
-}
-
 // version returns the newest version that a live node holds, as the base of a change.
 func (w *network) version() record.Version {
 	newest := record.Version(0)
--- a/control/control.go
+++ b/control/control.go
@@ -175,7 +175,7 @@
 	if c.leaving {
 		return message.StageDraining
 	}
-	if c.relay.Joined() {
+	if c.Joined() {
 		return message.StageServing
 	}
 	return message.StageJoining
--- /dev/null
+++ b/control/faultbench_test.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// BenchmarkFault measures the time until a change is in force on all nodes that live when it meets a
+// fault, or after the fault's end.
+func BenchmarkFault(b *testing.B) {
+	faults := []struct {
+		name string
+		run  func(w *network) // before the change
+		heal func(w *network) // after it, or nil
+	}{
+		{"reader-dies", func(w *network) { w.reader().kill() }, nil},
+		{"reader-paused", func(w *network) { w.reader().pause() }, func(w *network) { w.resumeAll() }},
+		{"loss=0.05", func(w *network) { w.loss = 0.05 }, nil},
+		{"loss=0.2", func(w *network) { w.loss = 0.2 }, nil},
+		{"domain-dies", func(w *network) { w.killDomain(w.reader().place.FailureDomain()) }, nil},
+		{"far-domain-dies", func(w *network) { w.killDomain("w0") }, nil},
+		{"split", func(w *network) { w.split() }, func(w *network) { w.run(30 * time.Second); w.mend() }},
+		{"outage", func(w *network) { w.log.outage = true }, func(w *network) { w.run(30 * time.Second); w.log.up() }},
+	}
+	for _, f := range faults {
+		b.Run(f.name, func(b *testing.B) {
+			var all []time.Duration
+			for b.Loop() {
+				all = nil
+				for seed := range uint64(5) {
+					w := settledNetwork(b, 20+seed, 100)
+					f.run(w)
+					all = append(all, faultTimes(b, w, f.heal)...)
+				}
+			}
+			slices.Sort(all)
+			reportTimes(b, all)
+		})
+	}
+}
+
+// faultTimes appends a change, heals, and returns the times from the later of the two.
+func faultTimes(b *testing.B, w *network, heal func(w *network)) []time.Duration {
+	s := newStopwatch(w)
+	for i := range s.arrived {
+		s.arrived[i] = -1
+	}
+	s.begin, s.version = w.now, record.Version(w.log.next()+1)
+	putChange(b, w, testChange(5000, w.version()))
+	if heal != nil {
+		heal(w)
+		s.begin = w.now
+	}
+	var times []time.Duration
+	if !w.runUntil(30*time.Second, w.settled) {
+		b.Fatal("not settled within 30 s: " + w.describe())
+	}
+	for i, n := range w.nodes {
+		if !n.down {
+			times = append(times, max(s.arrived[i], 0))
+		}
+	}
+	return times
+}
+
+func (w *network) resumeAll() {
+	w.run(5 * time.Second)
+	for _, n := range w.nodes {
+		if n.paused {
+			n.resume()
+		}
+	}
+}
+
+func (w *network) killDomain(domain member.FailureDomain) {
+	for _, n := range w.nodes {
+		if n.place.FailureDomain() == domain {
+			n.kill()
+		}
+	}
+}
+
+func (w *network) split() {
+	w.cut = func(a, b *testNode) bool { return a.place.Region() != b.place.Region() }
+	w.log.cut = func(n *testNode) bool { return n.place.Region() != logRegion }
+}
+
+func (w *network) mend() {
+	w.cut = func(_, _ *testNode) bool { return false }
+	w.log.reconnect()
+}
+
--- /dev/null
+++ b/control/queue_test.go
@@ -0,0 +1,30 @@
+package control
+
+import "time"
+
+// event is something that happens in a network at a time.
+type event struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
--- a/wire/distribution.go
+++ b/wire/distribution.go
@@ -69,25 +69,6 @@
 	flagUp
 )
 
-type countRow struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint64
-	Nodes   uint32
-}
-
-type laggardRow struct {
-	_       struct{} `cbor:",toarray"`
-	Node    keyWire
-	Version uint64
-}
-
-type censusWire struct {
-	_        struct{} `cbor:",toarray"`
-	Region   string
-	Counts   []countRow
-	Laggards []laggardRow
-}
-
 // pushWire leaves Low and High out for the whole ring.
 type pushWire struct {
 	Origin  keyWire      `cbor:"1,keyasint,omitempty"`
@@ -193,40 +174,6 @@
 	return message.NewEntries(record.Offset(w.Base), w.Chain, items, w.Digest.digest(), s), nil
 }
 
-func toCensus(c message.Census) (censusWire, error) {
-	w := censusWire{Region: string(c.Region())}
-	for _, n := range c.Counts() {
-		w.Counts = append(w.Counts, countRow{Version: uint64(n.Version()), Nodes: uint32(max(n.Nodes(), 0))})
-	}
-	for _, l := range c.Laggards() {
-		key, err := toKey(l.Node())
-		if err != nil {
-			return w, err
-		}
-		w.Laggards = append(w.Laggards, laggardRow{Node: key, Version: uint64(l.Version())})
-	}
-	return w, nil
-}
-
-func (w censusWire) census() (message.Census, error) {
-	if len(w.Region) > message.MaxName || len(w.Counts) > maxCensusRows || len(w.Laggards) > maxCensusRows {
-		return message.Census{}, errField
-	}
-	var counts []message.VersionCount
-	for _, r := range w.Counts {
-		counts = append(counts, message.NewVersionCount(record.Version(r.Version), int(r.Nodes)))
-	}
-	var laggards []message.Laggard
-	for _, r := range w.Laggards {
-		key, err := r.Node.key()
-		if err != nil {
-			return message.Census{}, err
-		}
-		laggards = append(laggards, message.NewLaggard(key, record.Version(r.Version)))
-	}
-	return message.NewCensus(member.Region(w.Region), counts, laggards, time.Time{}), nil
-}
-
 func encodePush(body message.Peer) ([]byte, error) {
 	p := body.(message.Push)
 	origin, err := toOrigin(p.Origin())
