--- a/fleet/region.go
+++ b/fleet/region.go
@@ -11,6 +11,8 @@
 const (
 	// contactSlack is added to ages of contacts heard from others, for the time on the way.
 	contactSlack = 100 * time.Millisecond
+	// wakeGrace is how long after a pause messages may have been queued up during it.
+	wakeGrace = time.Second
 	// maxContacts bounds the regions remembered.
 	maxContacts = 4
 	// crossCopies is how often a gateway sends one claim to another region.
@@ -27,20 +29,13 @@
 
 // crossState is what a node does as a gateway, and what it knows of other regions.
 type crossState struct {
-	started  time.Time
+	awake    time.Time // start of the machine, or the end of its last pause
 	next     time.Time
 	contacts []contact
 	queue    []*entry
 	silent   int // probes of other regions since the last answer
 }
 
-func (c *crossState) slept(gap time.Duration) {
-	c.started = c.started.Add(gap)
-	for i := range c.contacts {
-		c.contacts[i].at = c.contacts[i].at.Add(gap)
-	}
-}
-
 // heardFrom notes a contact, if it is newer than the one known.
 func (c *crossState) heardFrom(region member.Region, at time.Time) {
 	for i := range c.contacts {
@@ -64,9 +59,11 @@
 	return m.region()
 }
 
+// mergeContacts takes contacts from a message. Just after a pause, messages are as old as the pause was
+// long, so nothing is taken from them.
 func (m *Machine) mergeContacts(from member.Key, contacts []message.Contact) {
 	e := m.table.byPeer[from.Peer()]
-	if e == nil {
+	if e == nil || m.now.Sub(m.cross.awake) < wakeGrace {
 		return
 	}
 	if e.region() != m.region() {
@@ -89,17 +86,19 @@
 	return contacts
 }
 
-// silence returns for how long nothing was heard from a region, zero for the node's own.
+// silence returns for how long nothing was heard from a region, zero for the node's own. Time in which
+// the node itself was paused, and all before it, does not count.
 func (m *Machine) silence(region member.Region) time.Duration {
 	if region == m.region() {
 		return 0
 	}
+	last := m.cross.awake
 	for _, c := range m.cross.contacts {
-		if c.region == region {
-			return m.now.Sub(c.at)
+		if c.region == region && c.at.After(last) {
+			last = c.at
 		}
 	}
-	return m.now.Sub(m.cross.started)
+	return m.now.Sub(last)
 }
 
 // gateways returns the members that talk to other regions, best first: by hash, and from different
@@ -110,7 +109,7 @@
 
 func (m *Machine) gatewayRank() int { return slices.Index(m.gateways(m.region()), m.self) }
 
-// crossEnqueue makes a claim news for other regions.
+// crossEnqueue lets the claim of e go to other regions.
 func (m *Machine) crossEnqueue(e *entry) {
 	if e.crossSends == 0 {
 		m.cross.queue = append(m.cross.queue, e)
@@ -118,7 +117,7 @@
 	e.crossSends = crossCopies
 }
 
-// crossSpread sends news of this region to the other regions, if the node is a gateway.
+// crossSpread sends updates of this region to the other regions, if the node is a gateway.
 func (m *Machine) crossSpread() {
 	if len(m.cross.queue) == 0 {
 		return
@@ -164,7 +163,7 @@
 			m.cross.silent++
 		}
 	}
-	m.reviveOne()
+	m.probeDead()
 }
 
 // crossTarget returns the gateway of a region that has this node's rank, or any member while the
@@ -180,9 +179,9 @@
 	return r.gateways[max(m.gatewayRank(), 0)%len(r.gateways)]
 }
 
-// reviveOne probes a member of the region that is held for dead, so that two halves of a region that
+// probeDead probes a member of the region that is held for dead, so that two halves of a region that
 // declared each other dead meet again.
-func (m *Machine) reviveOne() {
+func (m *Machine) probeDead() {
 	var dead []*entry
 	for _, e := range m.table.entries {
 		if e.claim.Health() == member.HealthDead && e.region() == m.region() {
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -19,9 +19,9 @@
 	IndirectProbes int
 	// SuspectTimeout is how long a suspect member may refute before it counts as dead.
 	SuspectTimeout time.Duration
-	// GossipPeriod is the time between two rounds of news.
+	// GossipPeriod is the time between two rounds of gossip.
 	GossipPeriod time.Duration
-	// GossipFanout is the number of members that get the news in a round.
+	// GossipFanout is the number of members that are sent the claims of a round.
 	GossipFanout int
 	// Retention is how long claims of dead and left members are kept.
 	Retention time.Duration
@@ -56,7 +56,7 @@
 	DefaultGossipFanout   = 3
 	DefaultRetention      = 5 * time.Minute
 	DefaultPauseGap       = 500 * time.Millisecond
-	DefaultSyncSettle     = 3 * time.Second
+	DefaultSyncSettle     = 2 * time.Second
 	DefaultSyncDatagrams  = 64
 	DefaultGateways       = 2
 	DefaultGatewayPeriod  = 2 * time.Second
