--- a/control/baseline_test.go
+++ b/control/baseline_test.go
@@ -71,4 +71,3 @@
 	}
 	return depth
 }
-
--- a/control/faultbench_test.go
+++ b/control/faultbench_test.go
@@ -93,4 +93,3 @@
 	w.cut = func(_, _ *testNode) bool { return false }
 	w.log.reconnect()
 }
-
--- a/control/queue_test.go
+++ b/control/queue_test.go
@@ -27,4 +27,3 @@
 	*q = old[:len(old)-1]
 	return last
 }
-
--- a/wire/census.go
+++ b/wire/census.go
@@ -60,4 +60,3 @@
 	}
 	return message.NewCensus(member.Region(w.Region), counts, laggards, time.Time{}), nil
 }
-
