command: a given publish ID leaves failures in doubt

Change: with an ID that was given, failures end as unknown, exit code 4. Proof: the property draws doubt from before; cases for node and log away.

--- a/command/publish.go
+++ b/command/publish.go
@@ -21,7 +21,8 @@
 
 const publishLong = `Publishes the records of a TOML file as one change set, accepted whole or refused whole.
 The base version is that of --base, else that of the file, else the one that the node holds.
-An unknown outcome is tried again under the same publish ID, which counts once.
+An unknown outcome is tried again under the same publish ID, which counts once. A publish ID that is
+given may have been published before, so failures under it leave the outcome unknown.
 
 Exit codes: 0 accepted; 2 faults in the arguments or the file, nothing was sent; 3 refused;
 4 the outcome is not known, publish again with the --publish-id printed; 5 the node or the log
@@ -55,16 +56,19 @@
 	if err != nil {
 		return FailUsage(env, err)
 	}
-	id, err := c.identity(file)
+	id, given, err := c.identity(file)
 	if err != nil {
 		return FailUsage(env, err)
 	}
 	base, err := c.base(client, file)
+	if err != nil && given {
+		return failInDoubt(env, id, err)
+	}
 	if err != nil {
 		return Fail(env, err)
 	}
 	change := file.ChangeSet(id, c.operator(file), base)
-	receipt, err := c.attempt(client, change)
+	receipt, err := c.attempt(client, change, given)
 	code := c.report(env, change, receipt, err)
 	if code != ExitOK || !c.Wait {
 		return code
@@ -72,18 +76,20 @@
 	return c.Follow(env, client, receipt.Outcome().Version(), c.Limit, c.JSON)
 }
 
-func (c *publishCommand) identity(file recordfile.File) (record.PublishID, error) {
+// identity returns the publish ID, and whether it was given, so that it may have been used before.
+func (c *publishCommand) identity(file recordfile.File) (id record.PublishID, given bool, err error) {
 	if c.PublishID != "" {
-		id, err := uuid.Parse(c.PublishID)
+		id, err = uuid.Parse(c.PublishID)
 		if err != nil || id == uuid.Nil {
-			return id, fmt.Errorf("--publish-id %q: allowed is a UUID other than the nil UUID", c.PublishID)
+			err = fmt.Errorf("--publish-id %q: allowed is a UUID other than the nil UUID", c.PublishID)
 		}
-		return id, nil
+		return id, true, err
 	}
 	if id, ok := file.Publish(); ok {
-		return id, nil
+		return id, true, nil
 	}
-	return uuid.NewV7()
+	id, err = uuid.NewV7()
+	return id, false, err
 }
 
 func (c *publishCommand) base(client *operator.Client, file recordfile.File) (record.Version, error) {
@@ -113,21 +119,20 @@
 }
 
 // attempt publishes until the outcome is known or the attempts are used up.
-func (c *publishCommand) attempt(client *operator.Client, change record.ChangeSet) (message.Receipt, error) {
+func (c *publishCommand) attempt(client *operator.Client, change record.ChangeSet, inDoubt bool) (message.Receipt, error) {
 	wait := PauseOn(timer.New())
 	send := func() (message.Receipt, error) {
 		ctx, cancel := c.Context()
 		defer cancel()
 		return client.Publish(ctx, change)
 	}
-	return publishUntilKnown(c.Attempts, send, func() { wait(retryPause) })
+	return publishUntilKnown(c.Attempts, inDoubt, send, func() { wait(retryPause) })
 }
 
 // publishUntilKnown sends a change set up to attempts times, at least once, with a pause in between. It
 // stops when the outcome is known or when it is sure that nothing was published. Once an attempt may have
-// taken effect, no later failure makes that sure.
-func publishUntilKnown(attempts int, send func() (message.Receipt, error), pause func()) (message.Receipt, error) {
-	inDoubt := false
+// taken effect, here or before if inDoubt says so, no later failure makes that sure.
+func publishUntilKnown(attempts int, inDoubt bool, send func() (message.Receipt, error), pause func()) (message.Receipt, error) {
 	var doubt error
 	for i := range max(attempts, 1) {
 		if i > 0 {
@@ -172,6 +177,11 @@
 	return ExitUnknown
 }
 
+func failInDoubt(env Env, id record.PublishID, err error) int {
+	fmt.Fprintf(env.Err, "the outcome of %s is not known, nothing was sent now: %v\n", id, err)
+	return ExitUnknown
+}
+
 func (c *publishCommand) reportOutcome(env Env, o record.Outcome) int {
 	if !c.JSON {
 		PrintOutcome(env, o)
--- a/command/publish_test.go
+++ b/command/publish_test.go
@@ -32,15 +32,15 @@
 	{name: "answer lost", err: &net.OpError{Op: "read", Err: errors.New("reset")}, published: true},
 }
 
-type publisher func(attempts int, send func() (message.Receipt, error), pause func()) (message.Receipt, error)
+type publisher func(attempts int, inDoubt bool, send func() (message.Receipt, error), pause func()) (message.Receipt, error)
 
 // untruth runs a publish over drawn replies and says what it claims wrongly, or nothing.
 func untruth(t *rapid.T, publish publisher) string {
 	drawn := rapid.SliceOfN(rapid.SampledFrom(replies), 5, 5).Draw(t, "replies")
 	attempts := rapid.IntRange(0, len(drawn)).Draw(t, "attempts")
 	sent, pauses := 0, 0
-	doubt := false
-	receipt, err := publish(attempts, func() (message.Receipt, error) {
+	doubt := rapid.Bool().Draw(t, "in doubt before")
+	receipt, err := publish(attempts, doubt, func() (message.Receipt, error) {
 		r := drawn[sent]
 		sent++
 		doubt = doubt || r.published
@@ -72,7 +72,7 @@
 }
 
 func TestPublishSaysTheTruthCatchesBrokenLoop(t *testing.T) {
-	trustsLast := func(attempts int, send func() (message.Receipt, error), pause func()) (receipt message.Receipt, err error) {
+	trustsLast := func(attempts int, _ bool, send func() (message.Receipt, error), pause func()) (receipt message.Receipt, err error) {
 		for i := range max(attempts, 1) {
 			if i > 0 {
 				pause()
--- a/command/remote_test.go
+++ b/command/remote_test.go
@@ -24,6 +24,8 @@
 )
 
 const (
+	givenID = "00000000-0000-0000-0000-000000000007"
+
 	fleet  = "kovani-dvor"
 	sample = "../doc/examples/records.toml"
 )
@@ -114,13 +116,15 @@
 		{"not appended", notAppended, nil, command.ExitUnavailable, 1, "nothing was published"},
 		{"unknown, then accepted", then(unknown, accept), nil, command.ExitOK, 2, "accepted as version 41"},
 		{"unknown, then refused", then(unknown, refuse), nil, command.ExitRefused, 2, "refused"},
-		{"unknown, then not appended", then(unknown, notAppended), []string{"--attempts", "2"}, command.ExitUnknown, 2, "--publish-id 00000000-0000-0000-0000-000000000007"},
+		{"unknown, then not appended", then(unknown, notAppended), []string{"--attempts", "2"}, command.ExitUnknown, 2, "try again with --publish-id "},
+		{"ID given, not appended", notAppended, []string{"--attempts", "1", "--publish-id", givenID}, command.ExitUnknown, 1, "--publish-id " + givenID},
+		{"ID given, accepted", accept, []string{"--publish-id", givenID}, command.ExitOK, 1, givenID},
 		{"unknown", unknown, []string{"--attempts", "1"}, command.ExitUnknown, 1, "the outcome is not known"},
 		{"JSON", accept, []string{"--json"}, command.ExitOK, 1, `"accepted":true,"version":41`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			node, addr := startNode(t, test.decide)
-			args := append([]string{"publish", sample, "--node", addr, "--fleet", fleet, "--publish-id", "00000000-0000-0000-0000-000000000007"}, test.args...)
+			args := append([]string{"publish", sample, "--node", addr, "--fleet", fleet}, test.args...)
 			code, out, errOut := run(args...)
 			qt.Check(t, code, qt.Equals, test.code, qt.Commentf("%s%s", out, errOut))
 			qt.Check(t, out+errOut, qt.Contains, test.says)
@@ -146,6 +150,10 @@
 	server.Close()
 	code, _, errOut = run("publish", sample, "--node", addr, "--base", "1", "--attempts", "2")
 	qt.Check(t, code, qt.Equals, command.ExitUnavailable, qt.Commentf("%s", errOut))
+	code, _, errOut = run("publish", sample, "--node", addr, "--attempts", "1", "--publish-id", givenID)
+	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
+	code, _, errOut = run("publish", sample, "--node", addr, "--base", "1", "--attempts", "1", "--publish-id", givenID)
+	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
 }
 
 func TestPublishSendsNothing(t *testing.T) {
