--- a/command/drain.go
+++ b/command/drain.go
@@ -1,11 +1,17 @@
 package command
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+
+	"github.com/bambooknot/bambooknot/operator"
+)
 
 const drainLong = `Tells a node to drain: it refuses new calls as not run and ends those in flight.
 The command returns as soon as the node has begun.
 
-Exit codes: 0 the node drains; 2 bad arguments; 5 the node could not be reached; 1 any other failure.`
+Exit codes: 0 the node drains; 2 bad arguments; 4 no answer came, the node may drain; 5 the node could
+not be reached, nothing was changed; 1 any other failure, nothing was changed.`
 
 type drainCommand struct {
 	Remote
@@ -23,8 +29,17 @@
 	ctx, cancel := c.Context()
 	defer cancel()
 	if err := client.Drain(ctx); err != nil {
-		return Fail(env, err)
+		return c.fail(env, err)
 	}
 	fmt.Fprintln(env.Out, "draining", c.Node)
 	return ExitOK
 }
+
+func (c *drainCommand) fail(env Env, err error) int {
+	var rejected *operator.RejectedError
+	if operator.NotSent(err) || errors.As(err, &rejected) {
+		return Fail(env, err)
+	}
+	fmt.Fprintf(env.Err, "the node may drain, ask for its status: %v\n", err)
+	return ExitUnknown
+}
--- a/command/remote_test.go
+++ b/command/remote_test.go
@@ -138,8 +138,8 @@
 	}
 }
 
-// TestPublishLostAnswer checks that a connection lost after the request counts as unknown.
-func TestPublishLostAnswer(t *testing.T) {
+// TestLostAnswer checks that a connection lost after the request counts as unknown.
+func TestLostAnswer(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		panic(http.ErrAbortHandler)
 	}))
@@ -147,11 +147,15 @@
 	addr := strings.TrimPrefix(server.URL, "http://")
 	code, _, errOut := run("publish", sample, "--node", addr, "--base", "1", "--attempts", "1")
 	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
+	code, _, errOut = run("drain", "--node", addr)
+	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
 	server.Close()
 	code, _, errOut = run("publish", sample, "--node", addr, "--base", "1", "--attempts", "2")
 	qt.Check(t, code, qt.Equals, command.ExitUnavailable, qt.Commentf("%s", errOut))
 	code, _, errOut = run("publish", sample, "--node", addr, "--attempts", "1", "--publish-id", givenID)
 	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
+	code, _, errOut = run("drain", "--node", addr)
+	qt.Check(t, code, qt.Equals, command.ExitUnavailable, qt.Commentf("%s", errOut))
 	code, _, errOut = run("publish", sample, "--node", addr, "--base", "1", "--attempts", "1", "--publish-id", givenID)
 	qt.Check(t, code, qt.Equals, command.ExitUnknown, qt.Commentf("%s", errOut))
 }
