--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -388,3 +388,12 @@
 		}
 	})
 }
+
+// BenchmarkNewRoute measures the memory that a route takes.
+func BenchmarkNewRoute(b *testing.B) {
+	r := route("r", "s", promise)
+	b.ReportAllocs()
+	for b.Loop() {
+		newRouteCounter(r, tally.NoopScope)
+	}
+}
--- a/burn/counter.go
+++ b/burn/counter.go
@@ -16,8 +16,9 @@
 	"github.com/bambooknot/bambooknot/timer"
 )
 
-// MaxSeries is the number of routes that a node counts. Each takes 207 buckets of 24 bytes, so that
-// all of them take 2.5 MB. Calls on further routes are left out and counted as dropped.
+// MaxSeries is the number of routes that a node counts. Each takes 207 buckets of 24 bytes and, with all
+// around them, 5.9 kB (BenchmarkNewRoute), so that all of them take 3 MB. Calls on further routes are left
+// out and counted as dropped.
 const MaxSeries = 512
 
 const secondsPerMinute = 60
