operator: refuse routes whose fields would be dropped

Cause: a route of schema 1 with a timeout, or a timeout of zero, lost it without a word on the way from JSON.

--- a/operator/codec_record.go
+++ b/operator/codec_record.go
@@ -117,31 +117,50 @@
 	return nil, errors.New("not exactly one of service, resource and route")
 }
 
+// fromWireRoute refuses what a route would drop without a word.
 func fromWireRoute(w *wireRoute) (record.Record, error) {
 	if record.Schema(w.Schema) == record.Schema1 {
+		if w.Timeout != "" || len(w.Resources) > 0 || w.Objective != nil {
+			return nil, fmt.Errorf("route %q: schema 1 has no timeout, resources and objective", w.Name)
+		}
 		return record.NewRoute(w.Name, w.Path, w.Service, w.Idempotent), nil
 	}
-	timeout, err := parseDuration(w.Timeout)
+	timeout, err := parseTimeout(w.Timeout)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("route %q: %w", w.Name, err)
 	}
-	objective := record.Objective{}
-	if w.Objective != nil {
-		latency, err := parseDuration(w.Objective.Latency)
-		if err != nil {
-			return nil, err
-		}
-		objective = record.NewObjective(w.Objective.Target, latency)
+	objective, err := fromWireObjective(w.Objective)
+	if err != nil {
+		return nil, fmt.Errorf("route %q: %w", w.Name, err)
 	}
 	r := record.NewRoute2(w.Name, w.Path, w.Service, w.Idempotent, timeout, w.Resources, objective)
 	return r.WithSchema(record.Schema(w.Schema)), nil
 }
 
-func parseDuration(text string) (time.Duration, error) {
+func parseTimeout(text string) (time.Duration, error) {
 	if text == "" {
 		return 0, nil
 	}
-	return time.ParseDuration(text)
+	timeout, err := time.ParseDuration(text)
+	if err == nil && timeout <= 0 {
+		return 0, fmt.Errorf("timeout %s is not above 0", timeout)
+	}
+	return timeout, err
+}
+
+func fromWireObjective(w *wireObjective) (record.Objective, error) {
+	if w == nil {
+		return record.Objective{}, nil
+	}
+	latency, err := time.ParseDuration(w.Latency)
+	if err != nil {
+		return record.Objective{}, err
+	}
+	objective := record.NewObjective(w.Target, latency)
+	if objective.IsZero() {
+		return record.Objective{}, errors.New("the objective promises nothing")
+	}
+	return objective, nil
 }
 
 // Records is the configuration that a node holds.
--- a/operator/roundtrip_test.go
+++ b/operator/roundtrip_test.go
@@ -1,6 +1,7 @@
 package operator_test
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -120,6 +121,30 @@
 	qt.Assert(t, caught, qt.IsTrue)
 }
 
+// TestDecodeDropsNothing checks that a route with fields that it could not keep is refused.
+func TestDecodeDropsNothing(t *testing.T) {
+	const frame = `{"publish_id":"00000000-0000-0000-0000-000000000001","base":1,"puts":[{"route":{"name":"r","path":"/r","service":"s","idempotent":true,%s}}]}`
+	for _, test := range []struct{ fields, want string }{
+		{`"schema":1`, ``},
+		{`"schema":2,"timeout":"1s","resources":["a"],"objective":{"target":0.9,"latency":"1s"}`, ``},
+		{`"schema":1,"timeout":"1s"`, `.*schema 1 has no timeout.*`},
+		{`"schema":1,"resources":["a"]`, `.*schema 1 has no timeout.*`},
+		{`"schema":1,"objective":{"target":0.9,"latency":"1s"}`, `.*schema 1 has no timeout.*`},
+		{`"schema":2,"timeout":"0s"`, `.*timeout 0s is not above 0`},
+		{`"schema":2,"timeout":"-1s"`, `.*timeout -1s is not above 0`},
+		{`"schema":2,"timeout":"soon"`, `.*invalid duration.*`},
+		{`"schema":2,"objective":{"target":0,"latency":"0s"}`, `.*promises nothing`},
+		{`"schema":2,"objective":{"target":0.9}`, `.*invalid duration.*`},
+	} {
+		_, err := operator.DecodeChangeSet(fmt.Appendf(nil, frame, test.fields))
+		if test.want == "" {
+			qt.Check(t, err, qt.IsNil)
+			continue
+		}
+		qt.Check(t, err, qt.ErrorMatches, test.want, qt.Commentf("%s", test.fields))
+	}
+}
+
 func FuzzDecodeChangeSet(f *testing.F) {
 	for seed := range 5 {
 		data, err := operator.EncodeChangeSet(changeSets.Example(seed))
