--- a/query/query_test.go
+++ b/query/query_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
@@ -65,8 +67,15 @@
 	return record.Outcome{}, false
 }
 
-// startNode serves the operators' port of the node of that number, which has counted a slow burn.
+// startNode serves the operators' port of the node of that number.
 func startNode(t *testing.T, i int) string {
+	server := httptest.NewServer(newPort(i, status(i)))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// newPort returns the operators' port of the node of that number, which has counted a slow burn.
+func newPort(i int, status message.Status) *operator.Port {
 	clock := timer.NewManual(now.Add(-2 * time.Hour))
 	counter := burn.New(selfOf(i).Key(), places[i%2].Region(), clock.Service(), tally.NoopScope)
 	r := record.NewRoute2("commission", "/c", "radionica", false, 0, nil, record.NewObjective(0.99, 100*time.Millisecond))
@@ -74,15 +83,12 @@
 		counter.Observe(r, n%40 != 0, time.Duration(n%7)*time.Millisecond)
 		clock.Advance(6 * time.Second)
 	}
-	port := operator.New(fleet, operator.Functions{
-		Status:  func() message.Status { return status(i) },
+	return operator.New(fleet, operator.Functions{
+		Status:  func() message.Status { return status },
 		Outcome: outcome,
 		Burn:    func() burn.Counts { return counter.Counts([]record.Route{r}) },
 		Records: func() operator.Records { return operator.NewRecords(7, 2, []record.Record{r}) },
 	}, tally.NoopScope)
-	server := httptest.NewServer(port)
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
 }
 
 func run(args ...string) (code int, out, errOut string) {
@@ -169,6 +175,32 @@
 	}
 }
 
+// TestReportMembers checks that --members asks the other nodes at their peer addresses.
+func TestReportMembers(t *testing.T) {
+	var members []member.Member
+	for i, host := range []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"} {
+		members = append(members, member.New(member.NewKey(netip.MustParseAddrPort(host+":7100"), 1), places[i%2], record.Schema2))
+	}
+	members = append(members, selfOf(3).WithHealth(member.HealthDead))
+	known := message.NewStatus(message.StatusFields{Self: members[0], Members: members})
+	first := httptest.NewServer(newPort(0, known))
+	defer first.Close()
+	addr := strings.TrimPrefix(first.URL, "http://")
+	_, port, err := net.SplitHostPort(addr)
+	qt.Assert(t, err, qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.2:"+port)
+	qt.Assert(t, err, qt.IsNil)
+	second := &httptest.Server{Listener: listener, Config: &http.Server{Handler: newPort(1, known)}}
+	second.Start()
+	defer second.Close()
+	code, out, errOut := run("report", "burn", "--members", "--node", addr)
+	qt.Check(t, code, qt.Equals, command.ExitFailure, qt.Commentf("%s", errOut))
+	qt.Check(t, out, qt.Contains, "covers 2 of 3 nodes asked; 3 nodes of the fleet are alive")
+	qt.Check(t, errOut, qt.Contains, "127.0.0.3:"+port+" has not answered")
+	code, _, _ = run("report", "burn", "--members", "--node", "127.0.0.3:"+port)
+	qt.Check(t, code, qt.Equals, command.ExitUnavailable)
+}
+
 func TestReportPage(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "burn.html")
 	code, _, errOut := run("report", "burn", "--html", path, "--node", startNode(t, 0), "--node", startNode(t, 1))
--- a/query/report.go
+++ b/query/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"slices"
 	"sync"
@@ -15,8 +16,8 @@
 )
 
 const reportLong = `Prints a report. The only one so far is "burn": how fast each service burns its budget of bad calls,
-by the counts of the nodes asked. Name several nodes with --node again; the report says which of them
-did not answer and how many nodes the fleet has.
+by the counts of the nodes asked. Name several nodes with --node again, or ask all with --members; the
+report says which of them did not answer and how many nodes of the fleet are alive.
 
 Exit codes: 0 every node asked has answered; 1 some have not, the report covers the others; 2 bad
 arguments; 5 no node has answered.`
@@ -28,7 +29,8 @@
 )
 
 type reportQuery struct {
-	Nodes []string `long:"node" value-name:"ADDR" default:"127.0.0.1:7104" description:"operators' port of a node to ask, an IP number with a port; may be given again"`
+	Nodes   []string `long:"node" value-name:"ADDR" default:"127.0.0.1:7104" description:"operators' port of a node to ask, an IP number with a port; may be given again"`
+	Members bool     `long:"members" description:"ask also every node that the first --node believes alive, at its peer address and the port of that --node"`
 	command.Access
 	JSON bool   `long:"json" description:"print the report as JSON"`
 	HTML string `long:"html" value-name:"FILE" description:"write the report as one HTML page with plots"`
@@ -55,10 +57,21 @@
 }
 
 func (q *reportQuery) Run(env command.Env, _ []string) int {
+	if q.Args.Kind != "burn" {
+		return command.FailUsage(env, fmt.Errorf("report %q: allowed is burn", q.Args.Kind))
+	}
 	clients, err := q.clients()
 	if err != nil {
 		return command.FailUsage(env, err)
 	}
+	if q.Members {
+		if err := q.addMembers(clients[0]); err != nil {
+			return command.Fail(env, err)
+		}
+		if clients, err = q.clients(); err != nil {
+			return command.FailUsage(env, err)
+		}
+	}
 	counts, cover := q.gather(clients)
 	report := burn.NewReport(counts)
 	if err := q.write(env, report, cover); err != nil {
@@ -77,11 +90,26 @@
 	return command.ExitFailure
 }
 
-func (q *reportQuery) clients() ([]*operator.Client, error) {
-	if q.Args.Kind != "burn" {
-		return nil, fmt.Errorf("report %q: allowed is burn", q.Args.Kind)
+// addMembers names the members that the first node believes alive in addition to that node itself.
+func (q *reportQuery) addMembers(client *operator.Client) error {
+	ctx, cancel := q.Context()
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
 	}
-	q.Nodes = slices.Compact(slices.Sorted(slices.Values(q.Nodes)))
+	port := netip.MustParseAddrPort(q.Nodes[0]).Port()
+	for _, m := range status.Members() {
+		if m.Health() == member.HealthAlive && m.Key() != status.Self().Key() {
+			q.Nodes = append(q.Nodes, netip.AddrPortFrom(m.Key().Peer().Addr(), port).String())
+		}
+	}
+	return nil
+}
+
+// clients returns a client of each node, in the order named.
+func (q *reportQuery) clients() ([]*operator.Client, error) {
+	q.Nodes = unique(q.Nodes)
 	if len(q.Nodes) > maxReportNodes {
 		return nil, fmt.Errorf("%d nodes: allowed are %d", len(q.Nodes), maxReportNodes)
 	}
@@ -96,6 +124,16 @@
 	return clients, nil
 }
 
+func unique(names []string) []string {
+	var out []string
+	for _, name := range names {
+		if !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 type answer struct {
 	counts burn.Counts
 	alive  int
