--- a/rig/fleet.go
+++ b/rig/fleet.go
@@ -52,6 +52,20 @@
 	return spots
 }
 
+// Spread returns n spots without backend servers, over the two regions and five failure domains of the
+// size that the fleet is designed for.
+func Spread(n int) []Spot {
+	places := []struct{ region, domain string }{
+		{"jadran", "split"}, {"kontinent", "zagreb"}, {"jadran", "rijeka"}, {"kontinent", "osijek"}, {"jadran", "zadar"},
+	}
+	spots := make([]Spot, n)
+	for i := range spots {
+		p := places[i%len(places)]
+		spots[i] = NewSpot(p.region, p.domain, "", 0)
+	}
+	return spots
+}
+
 // Fleet is a running fleet: one log, and per spot a node with its backend server.
 type Fleet struct {
 	bin     string
@@ -137,6 +151,9 @@
 		if err := f.StartNode(i); err != nil {
 			return err
 		}
+		if f.spots[i].service == "" {
+			continue
+		}
 		if err := f.StartServer(i); err != nil {
 			return err
 		}
--- /dev/null
+++ b/rig/usage.go
@@ -0,0 +1,48 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// Usage is what a process has used of the machine.
+type Usage struct {
+	cpu      time.Duration
+	resident int64
+}
+
+// CPU returns the processor time used since the start.
+func (u Usage) CPU() time.Duration { return u.cpu }
+
+// Resident returns the memory held in bytes.
+func (u Usage) Resident() int64 { return u.resident }
+
+// Usage reads what the process has used so far.
+func (p *Process) Usage() (Usage, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return Usage{}, err
+	}
+	// The fields after the name in parentheses: user and system time are the 12th and 13th, resident pages the 22nd.
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	const userTime, systemTime, residentPages = 11, 12, 21
+	if len(fields) <= residentPages {
+		return Usage{}, fmt.Errorf("%s: short stat", p.name)
+	}
+	var numbers [3]int64
+	for i, field := range []int{userTime, systemTime, residentPages} {
+		if numbers[i], err = strconv.ParseInt(fields[field], 10, 64); err != nil {
+			return Usage{}, err
+		}
+	}
+	return Usage{
+		cpu:      time.Duration(numbers[0]+numbers[1]) * clockTick,
+		resident: numbers[2] * int64(os.Getpagesize()),
+	}, nil
+}
