--- /dev/null
+++ b/capacity/plot.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// curve is one line of a plot.
+type curve struct {
+	label   string
+	pattern string
+	unit    string
+}
+
+// chart is one plot against the size of the fleet.
+type chart struct {
+	file   string
+	title  string
+	yLabel string
+	curves []curve
+}
+
+const (
+	ours    = `Change/nodes=(\d+)`
+	polling = `Change/nodes=(\d+)/baseline=poll`
+	whole   = `Change/nodes=(\d+)/baseline=state`
+)
+
+var charts = []chart{
+	{"convergence.svg", "From acceptance to in force on every node", "ms (virtual time)", []curve{
+		{"bambooknot, 99th percentile", ours, "ms-p99"},
+		{"bambooknot, slowest", ours, "ms-max"},
+		{"every node polls, 99th percentile", polling, "ms-p99"},
+		{"push of whole state, slowest", whole, "ms-max"},
+	}},
+	{"bytes-at-rest.svg", "Control bytes of a node at rest", "bytes a second", []curve{
+		{"bambooknot", ours, "B/s/node-rest"},
+		{"bambooknot, busiest node", ours, "B/s/node-rest-max"},
+		{"every node polls", polling, "B/s/node-rest"},
+	}},
+	{"bytes-across.svg", "Bytes between the regions for one change", "bytes", []curve{
+		{"bambooknot", ours, "B-far/change"},
+		{"every node polls", polling, "B-far/change"},
+		{"push of whole state", whole, "B-far/change"},
+	}},
+}
+
+// WritePlots writes one SVG file per chart into a folder.
+func WritePlots(folder string, r Results) error {
+	for _, c := range charts {
+		if err := c.write(folder, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c chart) write(folder string, r Results) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.title, "nodes", c.yLabel
+	p.Y.Min = 0
+	p.Legend.Top, p.Legend.Left = true, true
+	for i, curve := range c.curves {
+		points, err := r.Series("control", curve.pattern, curve.unit)
+		if err != nil {
+			return err
+		}
+		line, marks, err := plotter.NewLinePoints(xys(points))
+		if err != nil {
+			return err
+		}
+		line.Color, marks.Color = plotutil.Color(i), plotutil.Color(i)
+		marks.Shape = plotutil.Shape(i)
+		p.Add(line, marks)
+		p.Legend.Add(curve.label, line, marks)
+	}
+	return p.Save(plotWidth, plotHeight, filepath.Join(folder, c.file))
+}
+
+func xys(points []Point) plotter.XYs {
+	out := make(plotter.XYs, len(points))
+	for i, p := range points {
+		out[i].X, out[i].Y = float64(p.size), p.value
+	}
+	return out
+}
--- a/node/node.go
+++ b/node/node.go
@@ -140,7 +140,7 @@
 	core := control.New(control.Settings{
 		Self:       n.self,
 		LogRegion:  s.Fleet().LogRegion(),
-		Fleet:      fleet.Settings{Hints: s.Fleet().Hints()},
+		Fleet:      fleet.Settings{Fleet: s.Fleet().Name(), Hints: s.Fleet().Hints()},
 		NotApplied: notApplied,
 	}, n.random())
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
