--- a/call/failure_test.go
+++ b/call/failure_test.go
@@ -111,6 +111,13 @@
 	f.c.Assert(forward.requests, qt.Equals, 2)
 }
 
+func TestIdempotentCallThatMayHaveRunIsNotCalledNotRun(t *testing.T) {
+	f := newFleet(t, 3, standin.ServerSettings{Slots: 4})
+	f.ingress.settings.Forward = &breakThenRefuse{}
+	got := f.do("GET", "/browse", "")
+	f.c.Assert(got.outcome, qt.Equals, OutcomeUnknown)
+}
+
 func TestTwoProcessesWithOneTagGetNoCall(t *testing.T) {
 	f := newFleet(t, 1, standin.ServerSettings{Slots: 4})
 	f.nodes = append(f.nodes, f.nodes[0])
