--- a/catalog/loader.go
+++ b/catalog/loader.go
@@ -16,10 +16,17 @@
 	floor    record.Version
 	state    *State
 	entries  []record.Entry // from start on, until there is a state
+	bytes    int            // of entries
+	limit    int            // of bytes
 	parts    assembly
 	rejected int
+	mismatch int
 }
 
+// maxLoaderBytes bounds the entries that a Loader keeps while it waits for a checkpoint. Beyond it the oldest ones
+// count as trimmed: a later checkpoint will do without them.
+const maxLoaderBytes = 16 << 20
+
 // NewLoader returns a Loader for a binary that understands record.SchemaNewest. Start is the first offset that
 // the log keeps; the fold starts from nothing if it is zero.
 func NewLoader(start record.Offset) *Loader { return NewLoaderAbove(start, 0, record.SchemaNewest) }
@@ -31,7 +38,7 @@
 }
 
 func newLoader(start record.Offset, floor record.Version, newest record.Schema, p policy) *Loader {
-	l := &Loader{newest: newest, policy: p, start: start, floor: floor}
+	l := &Loader{newest: newest, policy: p, start: start, floor: floor, limit: maxLoaderBytes}
 	if start == 0 {
 		l.state = newState(newest, p)
 	}
@@ -52,6 +59,9 @@
 // Rejected returns the number of whole checkpoints that were stale, damaged or below the floor.
 func (l *Loader) Rejected() int { return l.rejected }
 
+// Mismatches returns the number of entries whose checkpoints contradict the one restored: one of them is wrong.
+func (l *Loader) Mismatches() int { return l.mismatch }
+
 // Add takes the entries that follow. Entries seen before change nothing. The error is a *GapError when entries
 // are missing, and the caller then starts over with a new Loader; or a *LevelError.
 func (l *Loader) Add(entries []record.Entry) error {
@@ -65,7 +75,10 @@
 
 func (l *Loader) add(e record.Entry) error {
 	if l.state != nil {
-		_, err := l.state.Apply(e)
+		result, err := l.state.Apply(e)
+		if result.Kind() == ResultMismatch {
+			l.mismatch++
+		}
 		return err
 	}
 	if e.Offset() < l.Next() {
@@ -74,7 +87,7 @@
 	if e.Offset() > l.Next() {
 		return &GapError{want: l.Next(), got: e.Offset()}
 	}
-	l.entries = append(l.entries, e)
+	l.keep(e)
 	item, err := codec.DecodeAt(e.Data(), l.newest)
 	if err != nil {
 		return nil // the fold will count it
@@ -86,6 +99,17 @@
 	return l.take(chunk)
 }
 
+func (l *Loader) keep(e record.Entry) {
+	l.entries = append(l.entries, e)
+	l.bytes += len(e.Data())
+	for l.bytes > l.limit && len(l.entries) > 1 {
+		l.bytes -= len(l.entries[0].Data())
+		l.entries[0] = record.Entry{} // frees the data
+		l.entries = l.entries[1:]
+		l.start++
+	}
+}
+
 func (l *Loader) take(c codec.Chunk) error {
 	data, whole := l.parts.add(c)
 	if !whole {
--- a/control/operate_test.go
+++ b/control/operate_test.go
@@ -89,6 +89,34 @@
 	}
 }
 
+// TestReaderThatCannotReachTheLogIsReplaced cuts the log reader, and its standby too, from the log only.
+func TestReaderThatCannotReachTheLogIsReplaced(t *testing.T) {
+	c := quicktest.New(t)
+	w := joinedNetwork(t, 13, 30, 3)
+	cut := make(map[*testNode]bool)
+	w.log.cut = func(n *testNode) bool { return cut[n] }
+	for i := range 2 {
+		cut[w.reader()] = true
+		for _, n := range w.nodes {
+			if roles := n.core.relay.Roles(); len(roles) > 0 && roles[0] == "standby log reader" {
+				cut[n] = true
+			}
+		}
+		fillLogOne(t, w, 100+i)
+		c.Assert(w.runUntil(healBound, w.settled), quicktest.IsTrue, quicktest.Commentf("round %d: %s", i, w.describe()))
+	}
+	for i := range 20 {
+		fillLogOne(t, w, 200+i)
+		c.Assert(w.runUntil(time.Second, w.settled), quicktest.IsTrue, quicktest.Commentf("change %d: %s", i, w.describe()))
+		w.run(3 * time.Second)
+	}
+	clear(cut)
+	w.run(healBound)
+	reads := w.log.reads
+	w.run(20 * time.Second)
+	c.Assert(w.log.reads-reads <= 11, quicktest.IsTrue, quicktest.Commentf("%d reads by more than one reader", w.log.reads-reads))
+}
+
 // TestRetentionPassesDuringAnOutage lets the log lose all its entries while it is down. The nodes hold
 // the state and write it into the log when it is back, so that a fleet that restarts finds it there.
 func TestRetentionPassesDuringAnOutage(t *testing.T) {
@@ -190,3 +218,38 @@
 		c.Check(receipts[0].State(), quicktest.Equals, test.want, quicktest.Commentf(test.name))
 	}
 }
+
+func TestSmallFleetsJoin(t *testing.T) {
+	tests := []struct {
+		name  string
+		nodes []int // of a network, even ones stand in the region of the log
+	}{{"one", []int{0}}, {"one far", []int{1}}, {"two", []int{0, 1}}, {"two far", []int{1, 3}}, {"three", []int{0, 1, 2}}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			w := newTestNetwork(14, 4)
+			fillLog(t, w, 30)
+			var nodes []*testNode
+			for _, i := range test.nodes {
+				nodes = append(nodes, w.nodes[i])
+			}
+			w.nodes = nodes
+			w.start(0)
+			c.Assert(w.runUntil(healBound, w.allJoined), quicktest.IsTrue, quicktest.Commentf("%s", w.describe()))
+			fillLogOne(t, w, 100)
+			c.Assert(w.runUntil(time.Second, w.settled), quicktest.IsTrue, quicktest.Commentf("%s", w.describe()))
+		})
+	}
+}
+
+func TestLeavingReaderHandsOver(t *testing.T) {
+	c := quicktest.New(t)
+	w := joinedNetwork(t, 15, 20, 3)
+	n := w.reader()
+	n.do(n.core.Leave(w.now))
+	c.Assert(n.core.Status(w.now).Stage(), quicktest.Equals, message.StageDraining)
+	w.run(3 * time.Second)
+	fillLogOne(t, w, 100)
+	c.Assert(w.runUntil(healBound, w.settled), quicktest.IsTrue, quicktest.Commentf("%s", w.describe()))
+	c.Assert(w.reader() != n, quicktest.IsTrue)
+}
--- a/fleet/claims.go
+++ b/fleet/claims.go
@@ -11,6 +11,9 @@
 // sweepPeriod is the time between two searches for claims to forget.
 const sweepPeriod = time.Second
 
+// maxNumber bounds incarnations and revisions, so that there is always a greater one to refute with.
+const maxNumber = 1 << 62
+
 // take merges claims that a peer sent.
 func (m *Machine) take(from member.Key, claims []member.Member) {
 	for _, c := range claims {
@@ -19,6 +22,10 @@
 }
 
 func (m *Machine) merge(from member.Key, c member.Member) {
+	if max(uint64(c.Key().Incarnation()), c.Revision()) > maxNumber {
+		m.counts.Refused++
+		return
+	}
 	if c.Key().Peer() == m.self.peer() {
 		m.mergeSelf(c)
 		return
@@ -33,7 +40,7 @@
 		return
 	}
 	if !known && !e.live() {
-		return // kept against older claims, but no news
+		return // kept against older claims, but not passed on
 	}
 	m.enqueue(e)
 	if e.region() == m.region() && m.regionOf(from) != otherRegion {
@@ -110,11 +117,15 @@
 		return
 	}
 	m.sweepAt = m.now.Add(sweepPeriod)
-	for _, e := range slices.Clone(m.table.entries) {
+	var old []*entry
+	for _, e := range m.table.entries {
 		if !e.live() && e != m.self && m.now.Sub(e.goneAt) >= m.settings.Retention {
-			m.forget(e)
+			old = append(old, e)
 		}
 	}
+	for _, e := range old {
+		m.forget(e)
+	}
 }
 
 func (m *Machine) forget(e *entry) {
@@ -123,7 +134,7 @@
 	m.table.remove(e)
 }
 
-// claimOf changes the health of a member and makes it news.
+// claimOf changes the health of a member and spreads the claim.
 func (m *Machine) claimOf(e *entry, h member.Health) {
 	m.store(e.claim.WithHealth(h))
 	m.enqueue(e)
@@ -131,18 +142,18 @@
 	m.announce(e)
 }
 
-// gossip spreads news when its round has come.
+// gossip spreads claims when its round has come.
 func (m *Machine) gossip() {
-	if m.now.Before(m.nextNews) {
+	if m.now.Before(m.nextRound) {
 		return
 	}
-	m.nextNews = m.now.Add(m.settings.GossipPeriod)
+	m.nextRound = m.now.Add(m.settings.GossipPeriod)
 	m.spread()
 	m.crossSpread()
 }
 
-// doubt returns the claim held about a sender if the sender should know it and refute.
-func (m *Machine) doubt(from member.Key) []member.Member {
+// disputed returns the claim held about a sender if the sender should know it and refute.
+func (m *Machine) disputed(from member.Key) []member.Member {
 	e := m.table.byPeer[from.Peer()]
 	if e == nil || from.Incarnation() > e.claim.Key().Incarnation() || e.claim.Health() == member.HealthAlive {
 		return nil
