--- a/rig/fault_test.go
+++ b/rig/fault_test.go
@@ -266,3 +266,48 @@
 	wg.Wait()
 	qt.Assert(t, faults, qt.HasLen, 0)
 }
+
+// TestHerdReturns kills all nodes at once, with the log up and with the log down, and sees them serve
+// again, holding what was accepted.
+func TestHerdReturns(t *testing.T) {
+	f := startFleet(t)
+	_, err := publishService(t, f, 3, "accepted")
+	qt.Assert(t, err, qt.IsNil)
+	restartNodes(t, f)
+	qt.Assert(t, rig.Until(patience, f.AllReady), qt.IsNil)
+	qt.Assert(t, allHold(f, 2), qt.IsNil, qt.Commentf("a ready node holds what was accepted"))
+
+	client := newClient(f, 7)
+	defer client.Close()
+	qt.Assert(t, rig.Until(patience, func() error { return answers(client, browse) }), qt.IsNil)
+}
+
+// restartNodes kills every node and starts them all again.
+func restartNodes(t *testing.T, f *rig.Fleet) {
+	for i := range f.Size() {
+		f.Node(i).Kill()
+	}
+	for i := range f.Size() {
+		qt.Assert(t, f.StartNode(i), qt.IsNil)
+	}
+}
+
+// TestNodesReturnWhileLogIsDown kills half of the nodes while the log is down. They take the
+// configuration from the survivors.
+func TestNodesReturnWhileLogIsDown(t *testing.T) {
+	f := startFleet(t)
+	f.Log().Kill()
+	lost := []int{0, 2, 4, 6, 8, 10}
+	for _, i := range lost {
+		f.Node(i).Kill()
+	}
+	for _, i := range lost {
+		qt.Assert(t, f.StartNode(i), qt.IsNil)
+	}
+	for _, i := range lost {
+		qt.Assert(t, f.Ready(i), qt.IsNotNil, qt.Commentf("node %d cannot have met anybody yet", i))
+	}
+	qt.Assert(t, f.StartLog(), qt.IsNil)
+	qt.Assert(t, rig.Until(patience, f.AllReady), qt.IsNil)
+	qt.Assert(t, allHold(f, 1), qt.IsNil)
+}
