--- a/fleet/region.go
+++ b/fleet/region.go
@@ -107,7 +107,14 @@
 	return m.rosterOf(region).gateways
 }
 
-func (m *Machine) gatewayRank() int { return slices.Index(m.gateways(m.region()), m.self) }
+// gatewayRank returns the node's place among the gateways of its region, or -1. A node that has just
+// joined does not know its region well enough to take itself for one.
+func (m *Machine) gatewayRank() int {
+	if !m.sync.joined || m.now.Sub(m.sync.joinedAt) < m.settings.SyncSettle {
+		return -1
+	}
+	return slices.Index(m.gateways(m.region()), m.self)
+}
 
 // crossEnqueue lets the claim of e go to other regions.
 func (m *Machine) crossEnqueue(e *entry) {
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -105,11 +105,7 @@
 	if e := m.table.byPeer[peer]; peer == m.self.peer() || e != nil && e.live() {
 		return false
 	}
-	mode := message.SyncCompare
-	if !m.sync.joined {
-		mode = message.SyncJoin
-	}
-	m.requestSync(peer, mode)
+	m.requestSync(peer, message.SyncCompare)
 	return true
 }
 
@@ -181,7 +177,7 @@
 		}
 		for _, peer := range peers {
 			m.remember(peer)
-			if contacts < rendezvousContacts && m.contact(peer) {
+			if m.gatewayRank() >= 0 && contacts < rendezvousContacts && m.contact(peer) {
 				contacts++
 			}
 		}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -22,12 +22,13 @@
 
 // syncState paces comparisons of views.
 type syncState struct {
-	joined bool
-	next   time.Time // earliest start of the next comparison
-	agreed time.Time // when another node last had the same view
-	tokens float64   // datagrams that may be sent in answers now
-	hint   int       // hint to try next
-	found  []netip.AddrPort
+	joined   bool
+	joinedAt time.Time
+	next     time.Time // earliest start of the next comparison
+	agreed   time.Time // when another node last had the same view
+	tokens   float64   // datagrams that may be sent in answers now
+	hint     int       // hint to try next
+	found    []netip.AddrPort
 }
 
 func (s *syncState) refill(gap time.Duration, rate int) {
@@ -80,21 +81,27 @@
 		m.sync.agreed = m.now
 		return
 	}
-	if m.left || m.now.Before(m.sync.next) || !(unknown || mayStart && m.unsettled()) {
+	if m.left || m.now.Before(m.sync.next) || !(unknown || mayStart) || !m.differs(e) {
 		return
 	}
 	m.sync.next = m.now.Add(syncGap)
 	m.requestSync(from.Peer(), message.SyncCompare)
 }
 
-func (m *Machine) unsettled() bool {
+// differs tells whether the difference from a member's view has lasted long enough to count as loss.
+// Between regions it may last longer while claims come in, as comparing then costs most and helps least.
+func (m *Machine) differs(e *entry) bool {
 	settle := m.settings.SyncSettle
-	return m.now.Sub(m.table.changed) >= settle || m.now.Sub(m.sync.agreed) >= unsettledFactor*settle
+	patience := unsettledFactor * settle
+	if e != nil && e.region() != m.region() {
+		patience *= unsettledFactor
+	}
+	return m.now.Sub(m.table.changed) >= settle || m.now.Sub(m.sync.agreed) >= patience
 }
 
 func (m *Machine) receiveSync(from member.Key, s message.SyncReq) {
-	if s.Mode() == message.SyncEcho {
-		m.sync.joined = true
+	if s.Mode() == message.SyncEcho && !m.sync.joined {
+		m.sync.joined, m.sync.joinedAt = true, m.now
 	}
 	if s.Mode() == message.SyncJoin && m.refer(from) {
 		return
