node: tell frames and request keys when the node takes another key

Cause: a VM replaced at the same address by one whose clock stands behind takes a greater incarnation (package fleet), but its frames kept the old sender and its ledger the old tag, so every keyed call to it ended in unknown. Ruled out: the skew that keys allow (8 s behind, 10 s allowed). Change: the control thread reports the new key; the peer edge and the ledger follow. Keys that name the old tag are refused as if their owner were gone, so at most once holds.

--- a/call/owner.go
+++ b/call/owner.go
@@ -146,6 +146,10 @@
 // Load returns the calls that run at the backend server and those queued before it.
 func (o *Owner) Load() (running, queued int) { return o.gate.Load() }
 
+// Rename tells the owner that its node took another key, because its address was used before by a
+// process with a greater incarnation. Request keys that name the old one are not run any more.
+func (o *Owner) Rename(self member.Key) { o.ledger.Rename(ledger.TagOf(self)) }
+
 // Drain makes the owner refuse new work as not run. Calls in flight go on, and answers that are kept
 // are still given.
 func (o *Owner) Drain() { o.draining.Store(true) }
--- a/ledger/shared.go
+++ b/ledger/shared.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// Rename makes the ledger that of a process with another tag. Keys that name the old tag are refused
+// from now on, as if their owner were gone.
+func (l *Ledger) Rename(owner Tag) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.machine.owner = owner
+}
+
 // Begin is like Machine.Begin. With VerdictWait, the channel is closed when the running call has
 // ended; Begin must then be called again.
 func (l *Ledger) Begin(now time.Time, key Key, fp Fingerprint) (Verdict, Answer, <-chan struct{}) {
--- a/node/node.go
+++ b/node/node.go
@@ -149,7 +149,7 @@
 	dialer := link.NewDialer(s.Fleet().Name())
 	n.peers = newPeerEdge(sockets.peer, s.Fleet().Name(), n.self.Key(), dialer, n.queue.offer, n.calls.ServeConn, scope)
 	n.server = newServerEdge(n.clock, n.serverChanged)
-	n.thread = newThread(core, n.clock, n.queue, &n.pinned, n.execute, n.joined)
+	n.thread = newThread(core, n.clock, n.queue, &n.pinned, n.execute, n.joined, n.renamed)
 	gauges := metric.NewFleet(scope)
 	n.gauges = n.clock.Every(gaugePeriod, func(now time.Time) { gauges.Record(now, n.Status()) })
 }
@@ -190,6 +190,13 @@
 
 func (n *Node) joined() { n.stages.fire(eventJoined) }
 
+// renamed passes on that the node took another key.
+func (n *Node) renamed(self member.Key) {
+	n.log.Info().Uint64("incarnation", uint64(self.Incarnation())).Msg("address was used before, took a greater incarnation")
+	n.peers.rename(self)
+	n.owner.Rename(self)
+}
+
 func (n *Node) serverChanged(addr netip.AddrPort, server member.Server) {
 	n.log.Info().Str("service", server.Service()).Stringer("state", server.State()).Stringer("address", addr).Msg("backend server changed")
 	n.owner.SetServer(addr, server)
--- a/node/peeredge.go
+++ b/node/peeredge.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
@@ -17,7 +18,7 @@
 // peerEdge sends and receives peer messages and accepts forwarded calls, UDP and TCP on one port.
 type peerEdge struct {
 	fleet     string
-	self      member.Key
+	self      atomic.Pointer[member.Key]
 	receive   func(message.Event)
 	datagrams *link.Datagrams
 	frames    *link.Frames
@@ -51,17 +52,20 @@
 func newPeerEdge(sockets peerSockets, fleet string, self member.Key, dialer *link.Dialer, receive func(message.Event), calls func(context.Context, net.Conn), scope tally.Scope) *peerEdge {
 	p := &peerEdge{
 		fleet:   fleet,
-		self:    self,
 		receive: receive,
 		frames:  link.NewFrames(dialer, scope),
 		refused: scope.Counter("peer_frames_refused"),
 		unsent:  scope.Counter("peer_frames_unsent"),
 	}
+	p.rename(self)
 	p.datagrams = link.NewDatagrams(sockets.udp, p.take, scope)
 	p.listener = link.NewListener(sockets.tcp, fleet, link.Handlers{Frame: p.take, Calls: calls}, scope)
 	return p
 }
 
+// rename sets the key that frames carry as their sender's.
+func (p *peerEdge) rename(self member.Key) { p.self.Store(&self) }
+
 // take decodes one received frame. A frame that fails a check changes nothing and is counted.
 func (p *peerEdge) take(frame []byte) {
 	env, err := wire.Decode(p.fleet, frame)
@@ -73,7 +77,7 @@
 }
 
 func (p *peerEdge) send(s message.Send) {
-	frame, err := wire.Encode(p.fleet, p.self, s.Body())
+	frame, err := wire.Encode(p.fleet, *p.self.Load(), s.Body())
 	if err != nil {
 		p.unsent.Inc(1)
 		return
--- /dev/null
+++ b/node/rename_test.go
@@ -0,0 +1,108 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/bambooknot/bambooknot/call"
+	"github.com/bambooknot/bambooknot/caller"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/node"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/setting"
+	"github.com/bambooknot/bambooknot/standin"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// patience guards against a hang; it is no bound on a time that matters.
+const patience = 45 * time.Second
+
+// addresses are those of one node: peer, callers, server, observe, operators.
+type addresses [5]netip.AddrPort
+
+func freeAddresses(t *testing.T) (a addresses) {
+	for i := range a {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		a[i] = l.Addr().(*net.TCPAddr).AddrPort()
+		defer func() { _ = l.Close() }()
+	}
+	return a
+}
+
+func startNode(t *testing.T, a addresses, log string, clock *timer.Service) *node.Node {
+	text := fmt.Sprintf("[fleet]\nname = \"f\"\nlog_region = \"jadran\"\n[node]\nregion = \"jadran\"\nfailure_domain = \"split\"\npeer = %q\n"+
+		"[listen]\ncallers = %q\nserver = %q\nobserve = %q\noperators = %q\n[log]\naddress = %q\n", a[0], a[1], a[2], a[3], a[4], log)
+	s, err := setting.Parse("test.toml", []byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	n, err := node.New(s, clock, zerolog.Nop())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(n.Close)
+	return n
+}
+
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition not met")
+		}
+	}
+}
+
+func serving(n *node.Node) func() bool {
+	return func() bool { return n.Status().Stage() == message.StageServing }
+}
+
+// startBackend starts a backend server that announces itself to the node at a local address.
+func startBackend(t *testing.T, local netip.AddrPort) {
+	server := standin.NewServer(standin.ServerSettings{Service: "radionica", Slots: 4}, timer.New())
+	front := httptest.NewServer(server)
+	addr := netip.MustParseAddrPort(front.Listener.Addr().String())
+	announcer := standin.NewAnnouncer(server, addr, local, timer.New(), nil)
+	t.Cleanup(func() { announcer.Close(); front.Close(); server.Close() })
+}
+
+// A VM is replaced by one at the same address whose clock stands behind: its process must still be told
+// apart from the old one, and request keys that name it must be run.
+func TestReplacementWithClockBehind(t *testing.T) {
+	log := httptest.NewServer(standin.NewLog(standin.DefaultLogSettings(), timer.New()))
+	defer log.Close()
+	logAddress := log.Listener.Addr().String()
+	front, back := freeAddresses(t), freeAddresses(t)
+	ingress := startNode(t, front, logAddress, timer.New())
+	owner := startNode(t, back, logAddress, timer.New())
+	startBackend(t, back[2])
+	until(t, serving(ingress))
+	until(t, serving(owner))
+	change := record.NewChangeSet(uuid.New(), "test", 0, []record.Record{
+		record.NewService(record.Schema1, "radionica", 0),
+		record.NewRoute("termin", "/termin", "radionica", false),
+	}, nil)
+	qt.Assert(t, ingress.Publish(context.Background(), change).Outcome().Accepted(), qt.IsTrue)
+	client := caller.New(caller.Settings{Node: front[1]})
+	defer client.Close()
+	answered := func() bool {
+		r := client.Do(context.Background(), caller.Call{Method: http.MethodPost, Path: "/termin", Keyed: true})
+		return r.Outcome() == call.OutcomeAnswered
+	}
+	until(t, answered)
+	old := owner.Status().Self().Key()
+
+	owner.Close()
+	const behind = 8 * time.Second // within the skew that request keys allow
+	owner = startNode(t, back, logAddress, timer.NewOn(func() time.Time { return time.Now().Add(-behind) }))
+	until(t, serving(owner))
+	until(t, func() bool { return owner.Status().Self().Key().Incarnation() > old.Incarnation() })
+	until(t, answered)
+}
--- a/node/thread.go
+++ b/node/thread.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bambooknot/bambooknot/control"
+	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/timer"
 )
@@ -20,6 +21,8 @@
 	clock    *timer.Service
 	execute  func(message.Action)
 	joined   func()
+	renamed  func(self member.Key)
+	self     member.Key
 	queue    *queue
 	snapshot *atomic.Pointer[message.Snapshot]
 	ticks    *timer.Subscription
@@ -27,14 +30,16 @@
 }
 
 // newThread starts a control thread over core. It sets snapshot from the time on when the node may
-// serve, and calls joined then, once, on the thread.
-func newThread(core *control.Core, clock *timer.Service, q *queue, snapshot *atomic.Pointer[message.Snapshot], execute func(message.Action), joined func()) *thread {
+// serve, and calls joined then, once, on the thread. renamed is called when the node takes another key.
+func newThread(core *control.Core, clock *timer.Service, q *queue, snapshot *atomic.Pointer[message.Snapshot], execute func(message.Action), joined func(), renamed func(member.Key)) *thread {
 	t := &thread{
 		core:     core,
 		snapshot: snapshot,
 		clock:    clock,
 		execute:  execute,
 		joined:   joined,
+		renamed:  renamed,
+		self:     core.Self().Key(),
 		queue:    q,
 	}
 	t.ticks = clock.Every(controlPeriod, func(time.Time) { q.offer(message.Ticked{}) })
@@ -52,7 +57,12 @@
 }
 
 func (t *thread) handle(e message.Event) {
-	for _, a := range t.decide(e) {
+	actions := t.decide(e)
+	if self := t.core.Self().Key(); self != t.self {
+		t.self = self
+		t.renamed(self)
+	}
+	for _, a := range actions {
 		t.execute(a)
 	}
 	t.publish()
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -18,6 +18,12 @@
 	return &Service{now: time.Now, start: startSystem}
 }
 
+// NewOn returns a Service that tells the time by now and waits by the system clock. It serves VMs whose
+// clock is corrected, and tests of clocks that differ.
+func NewOn(now func() time.Time) *Service {
+	return &Service{now: now, start: startSystem}
+}
+
 func startSystem(d time.Duration, fn func()) func() {
 	t := time.AfterFunc(d, fn)
 	return func() { t.Stop() }
