--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -81,22 +81,17 @@
 		m.sync.agreed = m.now
 		return
 	}
-	if m.left || m.now.Before(m.sync.next) || !(unknown || mayStart) || !m.differs(e) {
+	if m.left || m.now.Before(m.sync.next) || !(unknown || mayStart && m.differs()) {
 		return
 	}
 	m.sync.next = m.now.Add(syncGap)
 	m.requestSync(from.Peer(), message.SyncCompare)
 }
 
-// differs tells whether the difference from a member's view has lasted long enough to count as loss.
-// Between regions it may last longer while claims come in, as comparing then costs most and helps least.
-func (m *Machine) differs(e *entry) bool {
+// differs tells whether a difference of views has lasted long enough to count as loss.
+func (m *Machine) differs() bool {
 	settle := m.settings.SyncSettle
-	patience := unsettledFactor * settle
-	if e != nil && e.region() != m.region() {
-		patience *= unsettledFactor
-	}
-	return m.now.Sub(m.table.changed) >= settle || m.now.Sub(m.sync.agreed) >= patience
+	return m.now.Sub(m.table.changed) >= settle || m.now.Sub(m.sync.agreed) >= unsettledFactor*settle
 }
 
 func (m *Machine) receiveSync(from member.Key, s message.SyncReq) {
