fleet: the last node of its region drops the others after a minute

Cause: a node that heard nobody since its probe suspected itself for ever, so that the only survivor of a region, cut off from the other one, kept all the dead in its view. Ruled out: suspecting after one period, which empties the view of a node whose own receiving is cut. Change: after a minute of silence it suspects the others.

--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -98,6 +98,18 @@
 	}
 }
 
+func TestLastOfItsRegion(t *testing.T) {
+	t.Parallel()
+	w := preformed(t, 30, 10)
+	w.run(5 * time.Second)
+	w.cut = parted
+	for _, n := range w.nodes[1:] {
+		n.dead = n.place.Region() == w.nodes[0].place.Region()
+	}
+	alone := func() bool { return len(w.nodes[0].m.regional()) == 1 }
+	w.runUntil(2*time.Minute, alone)
+}
+
 func TestFailureDomainLostAndBack(t *testing.T) {
 	t.Parallel()
 	w := preformed(t, 15, 50)
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -12,6 +12,8 @@
 const (
 	// maxRelays bounds the indirect probes that run on behalf of others.
 	maxRelays = 64
+	// isolationLimit is how long a node that hears nobody suspects itself rather than all others.
+	isolationLimit = time.Minute
 	// failuresTolerated is the number of failed probes in a row from which on a node doubts itself.
 	failuresTolerated = 3
 	// maxCaution bounds how many times longer a node that doubts itself waits for refutations.
@@ -144,9 +146,17 @@
 }
 
 // isolated tells whether nobody at all was heard since a probe was sent, so that the fault is probably on
-// this side. With one other member in the region, nobody else could have been heard.
+// this side. With one other member in the region, nobody else could have been heard. After
+// isolationLimit all others have probably gone.
 func (m *Machine) isolated(since time.Time) bool {
-	return len(m.regional()) > 2 && m.heard.Before(since)
+	if len(m.regional()) <= 2 || !m.heard.Before(since) {
+		return false
+	}
+	last := m.cross.awake
+	if m.heard.After(last) {
+		last = m.heard
+	}
+	return m.now.Sub(last) < isolationLimit
 }
 
 // suspectTimeout is longer for a node whose own probes keep failing.
