--- a/control/broken_test.go
+++ b/control/broken_test.go
@@ -59,6 +59,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			quicktest.Assert(t, firstBroken(t, test.breaks, test.only), quicktest.Contains, test.want)
 		})
 	}
--- a/control/level_test.go
+++ b/control/level_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestLevelRaiseIsRefusedWhileMembersKnowLess(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := mixedNetwork(c, 2)
 	var receipt message.Receipt
@@ -56,6 +57,7 @@
 }
 
 func TestLevelRaiseIsAcceptedWhenAllKnowIt(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := mixedNetwork(c, 0)
 	var receipt message.Receipt
@@ -67,6 +69,7 @@
 }
 
 func TestNodesTooOldHoldTheirConfigurationAndTheOthersGoOn(t *testing.T) {
+	t.Parallel()
 	for old := 1; old < 12; old += 3 {
 		c := quicktest.New(t)
 		w := mixedNetwork(c, old)
@@ -91,6 +94,7 @@
 }
 
 func TestANodeTooOldDoesNotJoin(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := mixedNetwork(c, 0)
 	putChange(t, w, levelRaise(1))
--- a/control/operate_test.go
+++ b/control/operate_test.go
@@ -32,6 +32,7 @@
 }
 
 func TestStatusShowsTheCensusOfAllRegionsEverywhere(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 5, 40, 3)
 	w.run(10 * time.Second)
@@ -48,6 +49,7 @@
 }
 
 func TestCensusNamesANodeThatLags(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := newTestNetwork(5, 40)
 	w.newest = func(i int) record.Schema {
@@ -67,6 +69,7 @@
 }
 
 func TestOneReaderAndOneCrossingAtRest(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 6, 60, 3)
 	w.run(20 * time.Second)
@@ -79,6 +82,7 @@
 // TestRoleHoldersMayDie kills the log reader, then the next ones, and after each death a change must
 // be in force everywhere within the bound.
 func TestRoleHoldersMayDie(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 7, 30, 3)
 	for i := range 4 {
@@ -91,6 +95,7 @@
 
 // TestReaderThatCannotReachTheLogIsReplaced cuts the log reader, and its standby too, from the log only.
 func TestReaderThatCannotReachTheLogIsReplaced(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 13, 30, 3)
 	cut := make(map[*testNode]bool)
@@ -120,6 +125,7 @@
 // TestRetentionPassesDuringAnOutage lets the log lose all its entries while it is down. The nodes hold
 // the state and write it into the log when it is back, so that a fleet that restarts finds it there.
 func TestRetentionPassesDuringAnOutage(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 8, 12, 30)
 	want := w.nodes[0].core.Snapshot().Config().Version()
@@ -143,6 +149,7 @@
 // TestRestartWithTheLogDownIsSaid restarts nodes while the log is down: they serve what the others
 // offer, and say so until the log is back.
 func TestRestartWithTheLogDownIsSaid(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 9, 20, 30)
 	w.log.outage = true
@@ -162,6 +169,7 @@
 }
 
 func TestNobodyServesWhenNoStateIsLeftAndTheLogIsDown(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 10, 12, 30)
 	w.log.outage = true
@@ -178,6 +186,7 @@
 }
 
 func TestReaderWritesCheckpoints(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := newTestNetwork(11, 12)
 	w.relaySettings = relay.Defaults()
@@ -194,6 +203,7 @@
 }
 
 func TestPublishIsIdempotentAndTruthful(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 12, 12, 0)
 	tests := []struct {
@@ -220,6 +230,7 @@
 }
 
 func TestSmallFleetsJoin(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		nodes []int // of a network, even ones stand in the region of the log
@@ -243,6 +254,7 @@
 }
 
 func TestLeavingReaderHandsOver(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	w := joinedNetwork(t, 15, 20, 3)
 	n := w.reader()
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -247,6 +247,7 @@
 }
 
 func TestPromisesUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		if broken, trace := runSchedule(t, 11, nil, nil); broken != "" {
 			t.Fatalf("%s\n%v", broken, trace)
