--- a/docs_test.go
+++ b/docs_test.go
@@ -129,6 +129,24 @@
 	}
 }
 
+// TestGoInPages checks that each Go example stands, as it is, in the file that its first line names.
+func TestGoInPages(t *testing.T) {
+	examples := 0
+	for path, text := range pages(t) {
+		for _, block := range codeBlock.FindAllStringSubmatch(text, -1) {
+			if block[1] != "go" {
+				continue
+			}
+			file, code, _ := strings.Cut(block[2], "\n")
+			source := readFile(t, strings.TrimPrefix(file, "// "))
+			qt.Check(t, strings.Contains(source, code), qt.IsTrue, qt.Commentf("%s: %s", path, file))
+			qt.Check(t, strings.TrimSpace(code), qt.Not(qt.Equals), "", qt.Commentf("%s: %s", path, file))
+			examples++
+		}
+	}
+	qt.Check(t, examples >= 4, qt.IsTrue, qt.Commentf("%d examples", examples))
+}
+
 // TestMetricsInPages checks that each metric named in a page is counted somewhere in the source.
 func TestMetricsInPages(t *testing.T) {
 	var source strings.Builder
