relay: count only whole checkpoints that the log can be read from

Cause: the writer took any part of a checkpoint for a fresh one and compared the part's own offset with the log's first. Ruled out: the loader, which refuses both rightly. Change: only the last part counts, and by the head that it covers.

--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -14,23 +14,26 @@
 	waiting bool
 	chunks  [][]byte
 
-	items     int           // change sets folded since the newest checkpoint
-	at        time.Time     // when a checkpoint was seen or tried last
+	items     int           // change sets folded since the newest whole checkpoint
+	at        time.Time     // when a whole checkpoint was seen last
 	notBefore time.Time     // pause after a failure
-	newest    record.Offset // offset of the newest checkpoint part seen
+	covered   record.Offset // head that the newest whole checkpoint covers
 	first     record.Offset // oldest offset that the log keeps
 }
 
 // tokenBase sets the tokens of checkpoints apart from those of publishes.
 const tokenBase = uint64(1) << 63
 
-// seen notes what one folded entry means for the next checkpoint.
-func (w *writer) seen(now time.Time, offset record.Offset, kind catalog.ResultKind) {
-	if kind == catalog.ResultCheckpoint {
-		w.items, w.at, w.newest = 0, now, offset
-		return
+// seen notes what one folded entry means for the next checkpoint. Only the last part makes a checkpoint
+// that can be loaded, and only one that covers more than those before can replace them.
+func (w *writer) seen(now time.Time, result catalog.Result) {
+	covered, whole := result.Covered()
+	switch {
+	case whole && covered > w.covered:
+		w.items, w.at, w.covered = 0, now, covered
+	case result.Kind() != catalog.ResultCheckpoint:
+		w.items++
 	}
-	w.items++
 }
 
 // checkpoint starts to write a checkpoint when enough has changed since the newest one, or when that
@@ -62,8 +65,8 @@
 	if w.items >= m.settings.CheckpointItems {
 		return true
 	}
-	if w.first > w.newest && m.holding.state.Head() > 0 {
-		return true // the log may hold no checkpoint that it can be read from
+	if w.first > w.covered {
+		return true // the log holds no checkpoint that it can be read from
 	}
 	return w.items > 0 && now.Sub(w.at) >= m.settings.CheckpointAge
 }
@@ -91,7 +94,7 @@
 	w.chunks = w.chunks[1:]
 	if len(w.chunks) == 0 {
 		m.counts.Checkpoints++
-		w.items, w.at, w.newest = 0, now, a.Offset()
+		w.notBefore = now.Add(m.settings.CheckpointRetry)
 	}
 	return nil
 }
--- a/relay/push.go
+++ b/relay/push.go
@@ -219,7 +219,7 @@
 		if result.Kind() == catalog.ResultMismatch {
 			m.counts.Mismatched++
 		}
-		m.writer.seen(now, e.Offset(), result.Kind())
+		m.writer.seen(now, result)
 	}
 }
 
