--- a/command/node.go
+++ b/command/node.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -39,6 +40,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	debug.SetMemoryLimit(s.Limits().Memory())
 	n, err := node.New(s, timer.New(), log)
 	if err != nil {
 		fmt.Fprintln(env.Err, err)
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +77,6 @@
 	if err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(s.Limits().Memory())
 	self := member.New(member.NewKey(s.Node().Peer(), member.Incarnation(clock.Now().UnixMicro())), s.Node().Place(), record.SchemaNewest)
 	metrics := metric.New(map[string]string{"region": string(s.Node().Region())})
 	n := &Node{
