metric: count what membership and distribution see

Suspicions, deaths, refutations, pauses, unequal chains, whole states taken and checkpoints were kept by the control core but reached no counter; refused frames now tell the class of their fault.

--- a/control/control.go
+++ b/control/control.go
@@ -146,6 +146,9 @@
 // Counts returns the events of the distribution counted so far.
 func (c *Core) Counts() relay.Counts { return c.relay.Counts() }
 
+// FleetCounts returns the events of the membership counted so far.
+func (c *Core) FleetCounts() fleet.Counts { return c.fleet.Counts() }
+
 // Outcome returns the decision on a publish, if the node has folded it.
 func (c *Core) Outcome(id record.PublishID) (record.Outcome, bool) { return c.relay.Outcome(id) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -148,8 +148,11 @@
 	n.peers = newPeerEdge(sockets.peer, s.Fleet().Name(), n.self.Key(), dialer, n.queue.offer, n.calls.ServeConn, scope)
 	n.server = newServerEdge(n.clock, n.serverChanged)
 	n.thread = newThread(core, n.clock, n.queue, &n.pinned, n.execute, n.joined, n.renamed)
-	gauges := metric.NewFleet(scope)
-	n.gauges = n.clock.Every(gaugePeriod, func(now time.Time) { gauges.Record(now, n.Status()) })
+	gauges, counters := metric.NewFleet(scope), metric.NewControl(scope)
+	n.gauges = n.clock.Every(gaugePeriod, func(now time.Time) {
+		gauges.Record(now, n.Status())
+		n.queue.ask(func() { counters.Record(n.thread.core.FleetCounts(), n.thread.core.Counts()) })
+	})
 }
 
 // startPorts starts to serve the HTTP ports.
--- a/node/peeredge.go
+++ b/node/peeredge.go
@@ -23,7 +23,7 @@
 	datagrams *link.Datagrams
 	frames    *link.Frames
 	listener  *link.Listener
-	refused   tally.Counter
+	refused   tally.Scope
 	unsent    tally.Counter
 }
 
@@ -54,7 +54,7 @@
 		fleet:   fleet,
 		receive: receive,
 		frames:  link.NewFrames(dialer, scope),
-		refused: scope.Counter("peer_frames_refused"),
+		refused: scope,
 		unsent:  scope.Counter("peer_frames_unsent"),
 	}
 	p.rename(self)
@@ -70,7 +70,7 @@
 func (p *peerEdge) take(frame []byte) {
 	env, err := wire.Decode(p.fleet, frame)
 	if err != nil {
-		p.refused.Inc(1)
+		p.refused.Tagged(map[string]string{"fault": wire.Fault(err)}).Counter("peer_frames_refused").Inc(1)
 		return
 	}
 	p.receive(env)
