--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -115,7 +115,7 @@
 }
 
 func writeStorms(b *strings.Builder, r Results) {
-	b.WriteString("\n### Storms at 580 nodes, in virtual time\n\n| event | figure | value |\n| --- | --- | --- |\n")
+	b.WriteString("\n### Storms and faults in virtual time\n\n| event | figure | value |\n| --- | --- | --- |\n")
 	for _, m := range r.Measures() {
 		isStorm := m.pkg == "control" && (strings.HasPrefix(m.name, "Rejoin/") || strings.HasPrefix(m.name, "Fault/"))
 		if !isStorm || m.unit == "ns/op" {
