relay: let an operator bridge a gap that no node can fill

Cause: after an outage longer than the log's retention, with entries that no node had read, every node held its version for ever. State.Bridge existed, and nothing called it. Nodes that do not read the log did not even know. Ruled out: bridging automatically, as a node out of sight may have read the entries; letting the newest checkpoint win, as any late writer would then overwrite states; giving up entries without naming the offset. Change: Core.Bridge refuses with a typed error (no gap, other offset, member further, busy), or appends the bridged checkpoint by the checkpoint writer. The node itself loads it from the log. Heartbeats of log readers carry the gap. A gap that a peer's state has closed is forgotten at once. A whole state that lacks a node's newest decision, or has a lower version, is refused and counted as unequal, and checkpoints that contradict the fold count there too. A node that pulls in vain from a peer that only passed a digest on asks another. The contradiction is found as far back as outcomes are remembered.

--- a/catalog/checkpoint.go
+++ b/catalog/checkpoint.go
@@ -47,6 +47,28 @@
 	return b, nil
 }
 
+// ContinuedBy tells whether a state with a greater head may stem from this one: its version is not lower, and it remembers
+// the newest decision of this state unless it has forgotten all of that time. A bridged state that leaves out
+// what this one has folded does not.
+func (s *State) ContinuedBy(later *State) bool {
+	if later.head <= s.head {
+		return true
+	}
+	if later.version < s.version {
+		return false
+	}
+	list := s.decisions.queue.list
+	if len(list) == 0 {
+		return true
+	}
+	newest := list[len(list)-1]
+	if uint64(later.horizon) > uint64(newest.Offset) {
+		return true
+	}
+	o, ok := later.Outcome(newest.Outcome.Publish())
+	return ok && o.Accepted() == newest.Outcome.Accepted() && o.Version() == newest.Outcome.Version()
+}
+
 func (s *State) export() codec.Checkpoint {
 	return codec.Checkpoint{
 		Head: s.head, Chain: s.chain, Version: s.version,
--- a/control/control.go
+++ b/control/control.go
@@ -98,7 +98,7 @@
 		return c.fleet.LogAppended(now, a)
 	}
 	if relay.OwnsAppend(a) {
-		return c.relay.LogAppended(now, a)
+		return c.relay.LogAppended(now, a, c.notApplied)
 	}
 	c.publisher.appended(a, c.notApplied)
 	c.settle(now)
@@ -166,7 +166,8 @@
 		Census:      c.relay.Census(),
 		NeedLevel:   c.relay.NeedLevel(),
 		Unconfirmed: c.relay.Unconfirmed(),
-		Unequal:     c.relay.Counts().Unequal,
+		Unequal:     c.relay.Counts().Unequal + c.relay.Counts().Mismatched,
+		Gap:         c.relay.Gap(),
 	})
 }
 
--- a/message/distribution.go
+++ b/message/distribution.go
@@ -15,6 +15,7 @@
 	age   time.Duration
 	known bool
 	up    bool
+	first record.Offset
 }
 
 // NewStatement returns the statement that the next append got the offset next as of age ago. up tells
@@ -27,6 +28,15 @@
 // the log could be read at the last attempt.
 func NewSilence(up bool) Statement { return Statement{up: up} }
 
+// WithGap returns a copy that says that entries before first are lost: no checkpoint in the log covers them.
+func (s Statement) WithGap(first record.Offset) Statement {
+	s.first = first
+	return s
+}
+
+// Gap returns the first offset after entries that are lost to the sender, or zero.
+func (s Statement) Gap() record.Offset { return s.first }
+
 // Next returns the offset of the next append, if Known.
 func (s Statement) Next() record.Offset { return s.next }
 
--- a/message/operator.go
+++ b/message/operator.go
@@ -134,6 +134,7 @@
 
 	unconfirmed bool
 	unequal     int
+	gap         Gap
 }
 
 // StatusFields are the parts of a Status, for NewStatus.
@@ -151,6 +152,7 @@
 
 	Unconfirmed bool // the node serves what its peers offered, without having heard where the log ends
 	Unequal     int  // contents refused because they contradict what the node has folded
+	Gap         Gap  // trimmed entries that the node lacks
 }
 
 // NewStatus returns a status of those parts. It keeps the slices.
@@ -158,7 +160,7 @@
 	return Status{
 		stage: f.Stage, self: f.Self, digest: f.Digest, level: f.Level, logFault: f.LogFault, logSeen: f.LogSeen,
 		roles: f.Roles, members: f.Members, census: f.Census, needLevel: f.NeedLevel,
-		unconfirmed: f.Unconfirmed, unequal: f.Unequal,
+		unconfirmed: f.Unconfirmed, unequal: f.Unequal, gap: f.Gap,
 	}
 }
 
@@ -204,3 +206,6 @@
 
 // Unequal returns how many contents the node refused because they contradict what it has folded.
 func (s Status) Unequal() int { return s.unequal }
+
+// Gap returns the trimmed entries that the node lacks, or the zero Gap.
+func (s Status) Gap() Gap { return s.gap }
--- a/relay/checkpoint.go
+++ b/relay/checkpoint.go
@@ -13,6 +13,8 @@
 	token   uint64
 	waiting bool
 	chunks  [][]byte
+	done    func(message.BridgeReceipt) // of the bridge that is written, or nil
+	doubt   bool                        // a part of a bridge may be in the log
 
 	items     int           // change sets folded since the newest whole checkpoint
 	at        time.Time     // when a whole checkpoint was seen last
@@ -40,7 +42,7 @@
 // is old and anything has changed. Only the first-ranked reader writes; two writers are harmless.
 func (m *Machine) checkpoint(now time.Time) {
 	w := &m.writer
-	if w.waiting || !m.log.active || !m.join.done || m.log.fault != nil || now.Before(w.notBefore) {
+	if w.waiting || w.done == nil && !m.mayWrite(now) {
 		return
 	}
 	if len(w.chunks) == 0 && !m.wantsCheckpoint(now) {
@@ -60,6 +62,11 @@
 	m.out = append(m.out, message.NewAppendLog(message.StreamConfig, tokenBase|w.token, w.chunks[0]))
 }
 
+// mayWrite tells whether the node may write a checkpoint of its own accord.
+func (m *Machine) mayWrite(now time.Time) bool {
+	return m.log.active && m.join.done && m.log.fault == nil && !now.Before(m.writer.notBefore)
+}
+
 func (m *Machine) wantsCheckpoint(now time.Time) bool {
 	w := &m.writer
 	if w.items >= m.settings.CheckpointItems {
@@ -79,8 +86,9 @@
 }
 
 // LogAppended takes the answer to the append of a part of a checkpoint. A part that is in doubt makes
-// the whole checkpoint worthless, so it is begun anew later.
-func (m *Machine) LogAppended(now time.Time, a message.LogAppended) []message.Action {
+// the whole checkpoint worthless, so it is begun anew later. notApplied says of an error that the log never takes the
+// part.
+func (m *Machine) LogAppended(now time.Time, a message.LogAppended, notApplied func(error) bool) []message.Action {
 	w := &m.writer
 	if !OwnsAppend(a) || !w.waiting || a.Token() != tokenBase|w.token {
 		return nil
@@ -89,11 +97,13 @@
 	if a.Err() != nil {
 		w.chunks = nil
 		w.notBefore = now.Add(m.settings.CheckpointRetry)
+		w.bridgeFailed(a.Err(), notApplied(a.Err()))
 		return nil
 	}
 	w.chunks = w.chunks[1:]
 	if len(w.chunks) == 0 {
 		m.counts.Checkpoints++
+		w.bridged(message.BridgeWritten, nil)
 		w.notBefore = now.Add(m.settings.CheckpointRetry)
 	}
 	return nil
--- a/relay/holding.go
+++ b/relay/holding.go
@@ -24,6 +24,8 @@
 	maxBytes  int
 	needLevel record.Schema
 	replaces  func(held, offered message.Digest) bool
+	continued func(held, later *catalog.State) bool
+	forks     int // states refused because they contradict what is held
 
 	cached     []byte
 	cachedHead record.Offset
@@ -89,8 +91,12 @@
 }
 
 // replace takes over a whole state that is ahead. It tells whether it did: neither head nor version
-// ever fall.
+// ever fall, and nothing that was folded is left out.
 func (h *holding) replace(state *catalog.State) bool {
+	if !h.continued(h.state, state) {
+		h.forks++
+		return false
+	}
 	if !h.replaces(h.digest(), digestOf(state)) {
 		return false
 	}
--- a/relay/knowledge.go
+++ b/relay/knowledge.go
@@ -23,6 +23,8 @@
 	next   record.Offset // offset of the log's next append as of readAt
 	readAt time.Time     // zero if unknown
 	upAt   time.Time     // when the log was last known to be readable, zero if never
+	gap    record.Offset // first offset after the gap that a reader reported, or zero
+	gapAt  time.Time     // when it did
 }
 
 // notice finds out whether the process was paused.
--- a/relay/load.go
+++ b/relay/load.go
@@ -21,7 +21,7 @@
 // trimmed begins to load from a stream that has lost entries which this node lacks. What is held stays
 // in force meanwhile.
 func (m *Machine) trimmed(now time.Time, page message.LogPage) {
-	m.log.gap = true
+	m.log.gap, m.log.first = true, page.First()
 	m.log.loader = catalog.NewLoaderAbove(page.First(), m.holding.state.Version(), m.holding.newest)
 	m.known.learn(now, m.log.asked, message.NewStatement(page.Next(), 0, true))
 	m.log.notBefore = now.Add(m.jitter(m.settings.ReadRetry / 4))
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -135,6 +135,9 @@
 		p.notBefore = now.Add(m.jitter(m.settings.PullPeriod))
 		return
 	}
+	if !advanced && m.join.done {
+		p.avoid = from.Peer() // it passed on what another one said, and holds no more itself
+	}
 	if advanced && p.ahead.IsValid() && !m.blocked() {
 		m.askPeer(now, p.ahead)
 	}
--- a/relay/push.go
+++ b/relay/push.go
@@ -187,6 +187,7 @@
 		m.log.lone = m.settings.SilenceLone + m.jitter(m.settings.SilenceJitter)
 	}
 	m.known.learn(now, now, push.Entries().Statement())
+	m.known.gap, m.known.gapAt = push.Entries().Statement().Gap(), now
 	m.tree.learnRegions(now, m.self.Place().Region(), push.Census())
 }
 
@@ -225,6 +226,7 @@
 
 // observe compares a peer's digest with what this node holds.
 func (m *Machine) observe(now time.Time, peer netip.AddrPort, d message.Digest) {
+	m.noteHead(peer, d.Head())
 	if chain, ok := m.holding.chainAt(d.Head()); ok && chain != d.Chain() {
 		m.sayUnequal()
 		return
--- a/relay/read.go
+++ b/relay/read.go
@@ -22,6 +22,7 @@
 	okAt      time.Time       // when the last read that succeeded was ordered
 	failedAt  time.Time       // when a read failed last
 	fault     error           // why the last read failed, or nil
+	first     record.Offset   // the oldest offset kept when the gap was found
 	gap       bool            // the log has trimmed entries that this node lacks
 	loader    *catalog.Loader // loads from the trimmed stream, or nil
 }
@@ -75,7 +76,7 @@
 	if !s.Known() {
 		return message.NewSilence(up)
 	}
-	return message.NewStatement(s.Next(), s.Age(), up)
+	return message.NewStatement(s.Next(), s.Age(), up).WithGap(m.ownGap())
 }
 
 // mayDoBetter tells whether this node should try the log because a reader says that it cannot read it:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,7 @@
 	server    stateServer
 	join      joiner
 	writer    writer
+	further   []further
 	counts    Counts
 	rules     Rules
 	retired   bool
@@ -40,7 +41,7 @@
 
 // Counts are the events that operators should see. They only rise.
 type Counts struct {
-	Unequal     int // digests with an equal head and an unequal chain, and entries that do not continue the chain
+	Unequal     int // digests with an equal head and an unequal chain, entries and whole states that do not continue what is held
 	Refolded    int // whole states taken over
 	Pushes      int // pushes sent as log reader
 	Unreachable int // spans of which no member answered
@@ -69,6 +70,7 @@
 // Tick moves the machine on to now. It wants to be called every 100 ms.
 func (m *Machine) Tick(now time.Time, view *member.View) []message.Action {
 	m.enter(now, view)
+	m.dropGap()
 	m.decideReading(now)
 	m.readLog(now)
 	m.beat(now)
@@ -182,7 +184,11 @@
 func (m *Machine) Unconfirmed() bool { return m.join.done && m.join.unconfirmed }
 
 // Counts returns the events counted so far.
-func (m *Machine) Counts() Counts { return m.counts }
+func (m *Machine) Counts() Counts {
+	c := m.counts
+	c.Unequal += m.holding.forks
+	return c
+}
 
 // Census returns the versions held per region, as far as this node knows.
 func (m *Machine) Census() []message.Census { return m.tree.censuses() }
@@ -201,7 +207,7 @@
 	if m.log.fault != nil && m.log.active {
 		return m.log.fault
 	}
-	if m.log.gap {
+	if m.log.gap || m.Gap().Exists() {
 		return errLogGap
 	}
 	if m.logDown(now) {
--- a/wire/distribution.go
+++ b/wire/distribution.go
@@ -61,6 +61,7 @@
 	Next   uint64     `cbor:"5,keyasint,omitempty"`
 	Age    uint64     `cbor:"6,keyasint,omitempty"`
 	Flags  uint8      `cbor:"7,keyasint,omitempty"`
+	Gap    uint64     `cbor:"8,keyasint,omitempty"`
 }
 
 // Flags of a statement.
@@ -146,6 +147,7 @@
 	if s.Up() {
 		w.Flags |= flagUp
 	}
+	w.Gap = uint64(s.Gap())
 	if len(e.Items()) == 0 {
 		return w
 	}
@@ -164,6 +166,7 @@
 	if w.Flags&flagKnown != 0 {
 		s = message.NewStatement(record.Offset(w.Next), time.Duration(w.Age)*ageUnit, w.Flags&flagUp != 0)
 	}
+	s = s.WithGap(record.Offset(w.Gap))
 	if len(w.Items) == 0 {
 		return message.NewEntries(record.Offset(w.Digest.Head), w.Digest.Chain, nil, w.Digest.digest(), s), nil
 	}
--- a/wire/distribution_test.go
+++ b/wire/distribution_test.go
@@ -20,7 +20,7 @@
 func distributionMessages() []message.Peer {
 	digest := message.NewDigest(7, 9, 0xfeedfacecafebeef)
 	items := []record.Entry{record.NewEntry(8, []byte("one")), record.NewEntry(9, []byte{})}
-	empty := message.NewEntries(9, 0xfeedfacecafebeef, nil, digest, message.NewSilence(true))
+	empty := message.NewEntries(9, 0xfeedfacecafebeef, nil, digest, message.NewSilence(true).WithGap(12))
 	full := message.NewEntries(8, 3, items, digest, message.NewStatement(10, 1500*time.Millisecond, true))
 	census := message.NewCensus("east", []message.VersionCount{message.NewVersionCount(7, 579), message.NewVersionCount(6, 1)},
 		[]message.Laggard{message.NewLaggard(distributionKey, 6)}, time.Time{})
