operator: take bridges at POST /bridge

Cause: the control core can bridge a gap, and no operator could ask for it. Ruled out: a receipt of a publish, which would need an outcome. Change: the request names the offset up to which entries are given up and is decoded strictly; a missing offset is malformed. Answers: written 200, refused 409, not appended 503, unknown 504. Status carries the gap. TestSampleStatusIsWhole failed until the sample status had the new field.

--- /dev/null
+++ b/node/bridge.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"context"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// Bridge gives up the entries of a gap and waits until the checkpoint that goes on from first is in the log.
+func (n *Node) Bridge(ctx context.Context, first record.Offset) message.BridgeReceipt {
+	receipts := make(chan message.BridgeReceipt, 1)
+	asked := message.NewBridgeAsked(first, func(r message.BridgeReceipt) { receipts <- r })
+	if !n.queue.post(asked) {
+		return message.NewBridgeReceipt(message.BridgeNotAppended, context.Canceled)
+	}
+	select {
+	case r := <-receipts:
+		return r
+	case <-ctx.Done():
+		return message.NewBridgeReceipt(message.BridgeUnknown, ctx.Err())
+	case <-n.queue.done:
+		return message.NewBridgeReceipt(message.BridgeUnknown, context.Canceled)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,7 @@
 func (n *Node) startPorts(sockets sockets) {
 	port := operator.New(n.settings.Fleet().Name(), operator.Functions{
 		Publish: n.Publish,
+		Bridge:  n.Bridge,
 		Status:  n.Status,
 		Drain:   n.Drain,
 		Outcome: n.Outcome,
--- a/node/thread.go
+++ b/node/thread.go
@@ -98,6 +98,8 @@
 		return t.core.SetServer(now, e.Server())
 	case message.PublishAsked:
 		return t.core.Publish(now, e.Change(), e.Reply)
+	case message.BridgeAsked:
+		return t.core.Bridge(now, e.First(), e.Reply)
 	case message.LeaveAsked:
 		return t.core.Leave(now)
 	case message.Asked:
--- /dev/null
+++ b/operator/bridge.go
@@ -0,0 +1,56 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/metric"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+func (p *Port) bridge(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		p.scope.Counter(metric.OperatorMalformed).Inc(1)
+		refuse(w, bodyStatus(err), err.Error())
+		return
+	}
+	first, err := DecodeBridge(data)
+	if err != nil {
+		p.scope.Counter(metric.OperatorMalformed).Inc(1)
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	receipt := p.fns.Bridge(r.Context(), first)
+	answer, err := EncodeBridgeReceipt(receipt)
+	reply(w, bridgeStatus(receipt), answer, err)
+}
+
+func bridgeStatus(r message.BridgeReceipt) int {
+	switch r.State() {
+	case message.BridgeWritten:
+		return http.StatusOK
+	case message.BridgeRefused:
+		return http.StatusConflict
+	case message.BridgeNotAppended:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
+// Bridge has the node give up the entries from its head to first. On an error other than those of NotSent and
+// *RejectedError the gap may have been bridged.
+func (c *Client) Bridge(ctx context.Context, first record.Offset) (message.BridgeReceipt, error) {
+	body, err := EncodeBridge(first)
+	if err != nil {
+		return message.BridgeReceipt{}, err
+	}
+	data, err := c.do(ctx, http.MethodPost, "/bridge", body, http.StatusConflict, http.StatusServiceUnavailable, http.StatusGatewayTimeout)
+	if err != nil {
+		return message.BridgeReceipt{}, err
+	}
+	r, err := DecodeBridgeReceipt(data)
+	return r, c.wrap("operator.bridge", err)
+}
--- /dev/null
+++ b/operator/codec_bridge.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+const (
+	bridgeWritten = "written"
+	bridgeRefused = "refused"
+)
+
+// EncodeBridge returns a request to bridge a gap up to an offset, as JSON.
+func EncodeBridge(first record.Offset) ([]byte, error) {
+	acceptLoss := uint64(first)
+	return json.Marshal(wireBridge{AcceptLoss: &acceptLoss})
+}
+
+// DecodeBridge returns the offset of the request that EncodeBridge wrote.
+func DecodeBridge(data []byte) (record.Offset, error) {
+	var w wireBridge
+	if err := decodeStrict(data, &w); err != nil {
+		return 0, err
+	}
+	if w.AcceptLoss == nil {
+		return 0, errors.New("accept_loss is missing")
+	}
+	return record.Offset(*w.AcceptLoss), nil
+}
+
+// EncodeBridgeReceipt returns a receipt as JSON.
+func EncodeBridgeReceipt(r message.BridgeReceipt) ([]byte, error) {
+	w := wireBridgeReceipt{State: stateUnknown}
+	switch r.State() {
+	case message.BridgeWritten:
+		w.State = bridgeWritten
+	case message.BridgeRefused:
+		w.State = bridgeRefused
+	case message.BridgeNotAppended:
+		w.State = stateNotAppended
+	}
+	if r.Err() != nil {
+		w.Error = r.Err().Error()
+	}
+	return json.Marshal(w)
+}
+
+// DecodeBridgeReceipt returns the receipt that EncodeBridgeReceipt wrote. The error keeps only its text.
+func DecodeBridgeReceipt(data []byte) (message.BridgeReceipt, error) {
+	var w wireBridgeReceipt
+	if err := json.Unmarshal(data, &w); err != nil {
+		return message.BridgeReceipt{}, err
+	}
+	err := textError(w.Error)
+	switch w.State {
+	case bridgeWritten:
+		return message.NewBridgeReceipt(message.BridgeWritten, err), nil
+	case bridgeRefused:
+		return message.NewBridgeReceipt(message.BridgeRefused, err), nil
+	case stateNotAppended:
+		return message.NewBridgeReceipt(message.BridgeNotAppended, err), nil
+	case stateUnknown:
+		return message.NewBridgeReceipt(message.BridgeUnknown, err), nil
+	}
+	return message.BridgeReceipt{}, fmt.Errorf("bridge in state %q", w.State)
+}
--- a/operator/codec_status.go
+++ b/operator/codec_status.go
@@ -18,6 +18,9 @@
 		Roles: append([]string{}, s.Roles()...), Members: []wireMember{}, Census: []wireCensus{},
 		Unconfirmed: s.Unconfirmed(), Unequal: s.Unequal(),
 	}
+	if s.Gap().Exists() {
+		w.Gap = &wireGap{Head: uint64(s.Gap().Head()), First: uint64(s.Gap().First())}
+	}
 	if s.LogFault() != nil {
 		w.LogFault = s.LogFault().Error()
 	}
@@ -46,6 +49,9 @@
 		LogFault: textError(w.LogFault), LogSeen: w.LogSeen, Roles: w.Roles, NeedLevel: record.Schema(w.NeedLevel),
 		Unconfirmed: w.Unconfirmed, Unequal: w.Unequal,
 	}
+	if w.Gap != nil {
+		f.Gap = message.NewGap(record.Offset(w.Gap.Head), record.Offset(w.Gap.First))
+	}
 	for _, wm := range w.Members {
 		m, err := fromWireMember(wm)
 		if err != nil {
--- a/operator/port.go
+++ b/operator/port.go
@@ -37,6 +37,7 @@
 // Functions are what the port acts through. Each is called from many goroutines at once.
 type Functions struct {
 	Publish func(context.Context, record.ChangeSet) message.Receipt
+	Bridge  func(context.Context, record.Offset) message.BridgeReceipt
 	Status  func() message.Status
 	Drain   func()                                        // starts draining and returns at once
 	Outcome func(record.PublishID) (record.Outcome, bool) // false if the node knows none
@@ -56,6 +57,7 @@
 func New(fleet string, fns Functions, scope tally.Scope) *Port {
 	p := &Port{fleet: fleet, fns: fns, scope: scope, mux: http.NewServeMux()}
 	p.mux.HandleFunc("POST /publish", p.publish)
+	p.mux.HandleFunc("POST /bridge", p.bridge)
 	p.mux.HandleFunc("POST /drain", p.drain)
 	p.mux.HandleFunc("GET /status", p.status)
 	p.mux.HandleFunc("GET /outcome/{publish}", p.outcome)
--- a/operator/port_test.go
+++ b/operator/port_test.go
@@ -36,6 +36,8 @@
 	published []record.ChangeSet
 	drains    int
 	receipt   message.Receipt
+	bridged   []record.Offset
+	bridge    message.BridgeReceipt
 }
 
 func (n *fakeNode) functions() operator.Functions {
@@ -44,6 +46,10 @@
 			n.published = append(n.published, c)
 			return n.receipt
 		},
+		Bridge: func(_ context.Context, first record.Offset) message.BridgeReceipt {
+			n.bridged = append(n.bridged, first)
+			return n.bridge
+		},
 		Status: sampleStatus,
 		Drain:  func() { n.drains++ },
 		Outcome: func(id record.PublishID) (record.Outcome, bool) {
@@ -63,7 +69,7 @@
 	return message.NewStatus(message.StatusFields{
 		Stage: message.StageServing, Self: self, Digest: message.NewDigest(7, 9, 1<<63+5), Level: 2,
 		LogFault: errors.New("log down"), LogSeen: then, Roles: []string{"log reader"},
-		Members: []member.Member{self, other}, NeedLevel: 3, Unconfirmed: true, Unequal: 4,
+		Members: []member.Member{self, other}, NeedLevel: 3, Unconfirmed: true, Unequal: 4, Gap: message.NewGap(9, 12),
 		Census: []message.Census{message.NewCensus("jadran",
 			[]message.VersionCount{message.NewVersionCount(7, 2), message.NewVersionCount(5, 1)},
 			[]message.Laggard{message.NewLaggard(key, 5)}, then)},
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -92,6 +92,22 @@
 
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	Unequal     int  `json:"unequal,omitempty"`
+
+	Gap *wireGap `json:"gap,omitempty"`
+}
+
+type wireGap struct {
+	Head  uint64 `json:"head"`
+	First uint64 `json:"first"`
+}
+
+type wireBridge struct {
+	AcceptLoss *uint64 `json:"accept_loss"`
+}
+
+type wireBridgeReceipt struct {
+	State string `json:"state"`
+	Error string `json:"error,omitempty"`
 }
 
 type wireKey struct {
