command: add bridge and show gaps in status

Cause: operators had to write a program on the library to bridge a gap. Ruled out: a default for the offset, which would let an operator bridge by accident.

--- a/command/command.go
+++ b/command/command.go
@@ -15,7 +15,7 @@
 	ExitOK          = 0 // done
 	ExitFailure     = 1 // the command ran and failed
 	ExitUsage       = 2 // bad arguments, settings or records; nothing was started or sent
-	ExitRefused     = 3 // the fleet refused the change set
+	ExitRefused     = 3 // the fleet refused the change set, or the node the bridge
 	ExitUnknown     = 4 // the outcome is not known; the same publish ID may be tried again
 	ExitUnavailable = 5 // the node or the log could not be reached; nothing was changed
 	ExitTimeout     = 6 // what was waited for has not come about in time; it still may
--- a/command/remote_test.go
+++ b/command/remote_test.go
@@ -36,6 +36,8 @@
 type fakeNode struct {
 	published []record.ChangeSet
 	drained   bool
+	bridged   []record.Offset
+	bridge    message.BridgeReceipt
 }
 
 func startNode(t *testing.T, decide decide) (*fakeNode, string) {
@@ -45,6 +47,10 @@
 			n.published = append(n.published, c)
 			return decide(len(n.published)-1, c)
 		},
+		Bridge: func(_ context.Context, first record.Offset) message.BridgeReceipt {
+			n.bridged = append(n.bridged, first)
+			return n.bridge
+		},
 		Status: func() message.Status { return statusAt(41) },
 		Drain:  func() { n.drained = true },
 	}, tally.NoopScope)
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -51,7 +51,7 @@
 	return message.NewStatus(message.StatusFields{
 		Stage: message.StageServing, Self: selfOf(i), Digest: message.NewDigest(7, 9, 0xabc), Level: 2,
 		LogFault: errors.New("connection refused"), LogSeen: now, Roles: []string{"log reader"},
-		Members: []member.Member{a, b}, NeedLevel: 3, Unconfirmed: true, Unequal: 4,
+		Members: []member.Member{a, b}, NeedLevel: 3, Unconfirmed: true, Unequal: 4, Gap: message.NewGap(9, 12),
 		Census: []message.Census{census(a, 7), census(b, 6, message.NewLaggard(b.Key(), 6))},
 	})
 }
@@ -110,7 +110,7 @@
 	}{
 		{"status", []string{"status", "--node", node}, command.ExitOK, []string{
 			"10.0.0.1:7100, jadran/split", "serving", "narudzbe, ready, 18 slots", "log reader", "7, log folded up to offset 9",
-			"lacks schema 3", "4 contents contradicted", "has not heard yet where the log ends", "FAULT: connection refused", "2 alive, 0 suspect", "1 nodes at version 6; 10.0.0.1:7101 behind at 6",
+			"lacks schema 3", "4 contents contradicted", "entries 9 to 11 were trimmed", "bambooknot bridge --accept-loss 12", "has not heard yet where the log ends", "FAULT: connection refused", "2 alive, 0 suspect", "1 nodes at version 6; 10.0.0.1:7101 behind at 6",
 		}},
 		{"members", []string{"status", "--members", "--node", node}, command.ExitOK, []string{"10.0.0.1:7101  kontinent  zagreb"}},
 		{"status as JSON", []string{"status", "--json", "--node", node}, command.ExitOK, []string{`"stage":"serving"`}},
--- a/query/status.go
+++ b/query/status.go
@@ -81,6 +81,10 @@
 		fmt.Fprintf(w, "unconfirmed\tthis node serves what its peers hold and has not heard yet where the log ends\n")
 	}
 	fmt.Fprintf(w, "log\t%s\n", describeLog(now, s))
+	if g := s.Gap(); g.Exists() {
+		fmt.Fprintf(w, "GAP\tentries %d to %d were trimmed unread, the log starts at offset %d; to give them up: bambooknot bridge --accept-loss %d\n",
+			g.Head(), g.First()-1, g.First(), g.First())
+	}
 	fmt.Fprintf(w, "members\t%s\n", describeHealth(s.Members()))
 	for _, c := range s.Census() {
 		fmt.Fprintf(w, "region %s\t%s\n", c.Region(), describeCensus(now, c))
