--- a/rig/bench_test.go
+++ b/rig/bench_test.go
@@ -71,10 +71,14 @@
 	const rounds, warmUp, length = 4, 500 * time.Millisecond, 2 * time.Second
 	direct, through := newHistogram(), newHistogram()
 	_, _ = offer(f.Backend(1), rate, warmUp), offer(f.Callers(0), rate, warmUp)
+	ingress, owner := cpuOfNode(b, f, 0), cpuOfNode(b, f, 1)
 	for range rounds {
 		direct.Merge(offer(f.Backend(1), rate, length))
 		through.Merge(offer(f.Callers(0), rate, length))
 	}
+	calls := float64(through.TotalCount())
+	b.ReportMetric(float64((cpuOfNode(b, f, 0)-ingress).Microseconds())/calls, "ingress-cpu-us/call")
+	b.ReportMetric(float64((cpuOfNode(b, f, 1)-owner).Microseconds())/calls, "owner-cpu-us/call")
 	micros := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	b.ReportMetric(micros(direct, 50), "direct-p50-us")
 	b.ReportMetric(micros(direct, 99), "direct-p99-us")
--- a/rig/rest_test.go
+++ b/rig/rest_test.go
@@ -59,13 +59,17 @@
 
 func cpuOf(b *testing.B, f *rig.Fleet) (total time.Duration) {
 	for i := range f.Size() {
-		u, err := f.Node(i).Usage()
-		qt.Assert(b, err, qt.IsNil)
-		total += u.CPU()
+		total += cpuOfNode(b, f, i)
 	}
 	return total
 }
 
+func cpuOfNode(b *testing.B, f *rig.Fleet, i int) time.Duration {
+	u, err := f.Node(i).Usage()
+	qt.Assert(b, err, qt.IsNil)
+	return u.CPU()
+}
+
 func residentOf(b *testing.B, f *rig.Fleet) (total, most int64) {
 	for i := range f.Size() {
 		u, err := f.Node(i).Usage()
