ledger: freeze a ledger for good and hand its final export over

A key names the process that may run it, so after such a restart each retry of its keys ends as unknown, although the process knew exactly which keys it ran.

Ruled out: an export while the process may still run keys (the property finds a second life of a key called not run); an export that leaves out keys and keeps its floor (the same); keeping exports compressed and decoding them when asked, which lets one caller use up the processor.

Change: Machine.Freeze ends the running of keys, without a way back; Machine.Export works on a frozen ledger only and holds keys, outcomes, answers within a bound, floor, time of freezing and TTL. Keys beyond the bound raise the floor. Departed keeps at most 16 exports and 32 MB until their keys expire, and never gives a key to run. Codec in zstd and CBOR with a bound on both sides and a fuzzed decoder.

Seen to fail: TestHandoverCatchesBrokenExports, with an export before the freeze and with an incomplete export that is claimed to be complete.

Conclusion: not wired yet; nothing uses it.

--- /dev/null
+++ b/ledger/export_test.go
@@ -0,0 +1,280 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// departure is a fleet of owners that freeze and export at any time, and nodes that keep what arrives.
+// Exports may be lost, repeated, late and sent to any node; keys are asked for anywhere at any time.
+type departure struct {
+	draw   func(n int) int
+	rnd    *rand.Rand
+	now    time.Time
+	owners []*Machine
+	nodes  []*Departed
+	sent   [][]byte
+
+	keys       []Key
+	running    []Key
+	executions map[Key]int
+	notRun     map[Key]bool
+	answers    map[Key]string
+	told       int // "not run" and replays by exports
+}
+
+func newDeparture(draw func(n int) int, fault func(m *Machine)) *departure {
+	d := &departure{
+		draw: draw, rnd: rand.New(rand.NewPCG(1, 2)), now: start, nodes: []*Departed{NewDeparted(), NewDeparted(), NewDeparted()},
+		executions: make(map[Key]int), notRun: make(map[Key]bool), answers: make(map[Key]string),
+	}
+	for tag := range Tag(3) {
+		m := NewMachine(Settings{TTL: time.Minute, Skew: time.Second, MaxKeys: 6, MaxBytes: 64, ExportKeys: 3, ExportBytes: 24}, tag, start)
+		fault(m)
+		d.owners = append(d.owners, m)
+	}
+	return d
+}
+
+func (d *departure) run(steps int) error {
+	for range steps {
+		if err := d.step(); err != nil {
+			return err
+		}
+		for k, n := range d.executions {
+			if n > 1 || n == 1 && d.notRun[k] {
+				return fmt.Errorf("key %v: %d executions, called not run: %v", k, n, d.notRun[k])
+			}
+		}
+	}
+	return nil
+}
+
+func (d *departure) step() error {
+	switch d.draw(12) {
+	case 0, 1, 2:
+		skew := time.Duration(d.draw(3)-1) * 500 * time.Millisecond
+		d.keys = append(d.keys, NewKey("f", Tag(d.draw(3)), d.now.Add(skew), d.rnd))
+	case 3, 4:
+		return d.arrive()
+	case 5:
+		d.end()
+	case 6:
+		d.now = d.now.Add(time.Duration(d.draw(4000)) * time.Millisecond)
+	case 7:
+		return d.export(d.owners[d.draw(3)])
+	case 8, 9:
+		return d.deliver()
+	default:
+		return d.ask()
+	}
+	return nil
+}
+
+func (d *departure) arrive() error {
+	if len(d.keys) == 0 {
+		return nil
+	}
+	k := d.keys[d.draw(len(d.keys))]
+	m := d.owners[d.draw(3)]
+	verdict, answer := m.Begin(d.now, k, 1)
+	if verdict != VerdictRun {
+		return d.heard(k, verdict, answer)
+	}
+	if d.draw(3) == 0 {
+		m.Refuse(d.now, k)
+		d.notRun[k] = true
+		return nil
+	}
+	d.executions[k]++
+	d.running = append(d.running, k)
+	return nil
+}
+
+func (d *departure) heard(k Key, verdict Verdict, answer Answer) error {
+	switch verdict {
+	case VerdictNotRun:
+		d.notRun[k] = true
+	case VerdictReplay:
+		if string(answer.Body()) != d.answers[k] {
+			return fmt.Errorf("key %v: replayed %q, first %q", k, answer.Body(), d.answers[k])
+		}
+	}
+	return nil
+}
+
+func (d *departure) end() {
+	if len(d.running) == 0 {
+		return
+	}
+	at := d.draw(len(d.running))
+	k := d.running[at]
+	d.running = append(d.running[:at], d.running[at+1:]...)
+	m := d.owners[k.Owner()]
+	if d.draw(4) == 0 {
+		m.Lose(d.now, k)
+		return
+	}
+	d.answers[k] = fmt.Sprintf("%08d", len(d.answers))
+	m.Finish(d.now, k, NewAnswer(200, nil, []byte(d.answers[k])))
+}
+
+// export tries to export as the owner is, and sometimes freezes it first.
+func (d *departure) export(m *Machine) error {
+	if d.draw(4) == 0 {
+		m.Freeze(d.now)
+	}
+	e, err := m.Export()
+	if err != nil {
+		return nil
+	}
+	data, err := EncodeExport(e)
+	d.sent = append(d.sent, data)
+	return err
+}
+
+func (d *departure) deliver() error {
+	if len(d.sent) == 0 {
+		return nil
+	}
+	e, err := DecodeExport(d.sent[d.draw(len(d.sent))])
+	if err != nil {
+		return err
+	}
+	_ = d.nodes[d.draw(3)].Keep(d.now, e)
+	return nil
+}
+
+func (d *departure) ask() error {
+	if len(d.keys) == 0 {
+		return nil
+	}
+	k := d.keys[d.draw(len(d.keys))]
+	verdict, answer := d.nodes[d.draw(3)].Ask(d.now, k, 1)
+	if verdict == VerdictRun {
+		return fmt.Errorf("key %v: an export gave it to run", k)
+	}
+	if verdict == VerdictNotRun || verdict == VerdictReplay {
+		d.told++
+	}
+	return d.heard(k, verdict, answer)
+}
+
+func TestHandoverKeepsAtMostOnce(t *testing.T) {
+	told := 0
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		d := newDeparture(draw, func(*Machine) {})
+		if err := d.run(300); err != nil {
+			t.Fatal(err)
+		}
+		told += d.told
+	})
+	if told == 0 {
+		t.Fatal("no export told anything")
+	}
+}
+
+func TestHandoverCatchesBrokenExports(t *testing.T) {
+	for name, fault := range map[string]func(m *Machine){
+		"export before the freeze": func(m *Machine) {
+			m.sealed = func(m *Machine) bool { m.frozenAt = m.now; return true }
+		},
+		"incomplete export claimed complete": func(m *Machine) {
+			m.covered = func(floor, _ time.Time) time.Time { return floor }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(300) {
+				if newDeparture(rand.New(rand.NewPCG(seed, 1)).IntN, fault).run(300) != nil {
+					return
+				}
+			}
+			t.Fatal("no seed shows the fault")
+		})
+	}
+}
+
+// filled returns a frozen ledger with that many answered keys, each with an answer of 100 bytes.
+func filled(keys int) *Machine {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	m := NewMachine(Settings{}, 1, start)
+	header := []Field{{"Content-Type", "text/plain"}, {"Date", "Thu, 03 Dec 2026 21:00:00 GMT"}}
+	for n := range keys {
+		now := start.Add(time.Duration(n) * time.Millisecond)
+		k := NewKey("f", 1, now, rnd)
+		m.Begin(now, k, Fingerprint(rnd.Uint64()))
+		body := make([]byte, 100)
+		for at := range body {
+			body[at] = byte(rnd.Uint32())
+		}
+		m.Finish(now, k, NewAnswer(200, header, body))
+	}
+	m.Freeze(start.Add(time.Duration(keys) * time.Millisecond))
+	return m
+}
+
+func TestDepartedIsBounded(t *testing.T) {
+	c := qt.New(t)
+	d := NewDeparted()
+	key := NewKey("f", 1, start, rand.New(rand.NewPCG(1, 2)))
+	for n := range 3 * maxDeparted {
+		e := Export{owner: Tag(n), floor: start.Add(-time.Second), frozen: start.Add(time.Second), ttl: time.Minute}
+		c.Assert(d.Keep(start, e), qt.IsNil)
+	}
+	c.Assert(d.Len(), qt.Equals, maxDeparted)
+	v, _ := d.Ask(start, key, 1)
+	c.Assert(v, qt.Equals, VerdictStale, qt.Commentf("its export made place"))
+	c.Assert(d.Keep(start, Export{owner: 1, floor: start.Add(-1), frozen: start.Add(1), ttl: time.Minute, entries: make([]exported, maxDepartedBytes/exportedSize+1)}), qt.Equals, ErrNotKept)
+	d.expire(start.Add(time.Minute))
+	c.Assert(d.Len(), qt.Equals, 0)
+	c.Assert(d.bytes, qt.Equals, 0)
+}
+
+func FuzzDecodeExport(f *testing.F) {
+	for _, keys := range []int{0, 1, 20} {
+		e, err := filled(keys).Export()
+		qt.Assert(f, err, qt.IsNil)
+		data, err := EncodeExport(e)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := DecodeExport(data)
+		if err != nil {
+			return
+		}
+		again, err := EncodeExport(e)
+		qt.Assert(t, err, qt.IsNil)
+		same, err := DecodeExport(again)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, fmt.Sprint(same), qt.Equals, fmt.Sprint(e))
+	})
+}
+
+func BenchmarkExport(b *testing.B) {
+	for _, keys := range []int{1000, 65536} {
+		m := filled(keys)
+		b.Run(fmt.Sprintf("encode/keys=%d", keys), func(b *testing.B) {
+			for b.Loop() {
+				e, _ := m.Export()
+				data, _ := EncodeExport(e)
+				b.ReportMetric(float64(len(data)), "bytes")
+			}
+		})
+		e, _ := m.Export()
+		data, _ := EncodeExport(e)
+		b.Run(fmt.Sprintf("decode/keys=%d", keys), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := DecodeExport(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/ledger/exportcodec.go
@@ -0,0 +1,210 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/klauspost/compress/zstd"
+)
+
+// MaxExport bounds an encoded export, before and after compression, in bytes.
+const MaxExport = 12 << 20
+
+// Faults of encoded exports.
+var (
+	// ErrExportSize: the export is larger than MaxExport.
+	ErrExportSize = errors.New("the export is too large")
+	// ErrExportMalformed: the bytes are no export.
+	ErrExportMalformed = errors.New("the export is malformed")
+)
+
+const (
+	keySize         = 16
+	fingerprintSize = 8
+	exportFormat    = 1
+	minStatus       = 200
+	maxStatus       = 999
+)
+
+var newline = []byte("\n")
+
+type wireExport struct {
+	Format  int          `cbor:"0,keyasint"`
+	Owner   uint32       `cbor:"1,keyasint"`
+	Floor   int64        `cbor:"2,keyasint"` // milliseconds since 1970
+	Frozen  int64        `cbor:"3,keyasint"` // milliseconds since 1970
+	TTL     int64        `cbor:"4,keyasint"` // milliseconds
+	Keys    []byte       `cbor:"5,keyasint"`
+	Prints  []byte       `cbor:"6,keyasint"`
+	Phases  []byte       `cbor:"7,keyasint"`
+	Answers []wireAnswer `cbor:"8,keyasint"` // of the answered keys, in their order
+}
+
+type wireAnswer struct {
+	Status int    `cbor:"0,keyasint"`
+	Header []byte `cbor:"1,keyasint"` // names and values in turn, each ended by a newline
+	Body   []byte `cbor:"2,keyasint"`
+}
+
+var exportEncoder = sync.OnceValue(func() *zstd.Encoder {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return e
+})
+
+var exportDecoder = sync.OnceValue(func() *zstd.Decoder {
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(MaxExport))
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return d
+})
+
+var exportMode = sync.OnceValue(func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: MaxExportKeys, MaxMapPairs: 16, MaxNestedLevels: 4,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+})
+
+// EncodeExport returns an export as zstd-compressed CBOR. The error is ErrExportSize.
+func EncodeExport(e Export) ([]byte, error) {
+	w := wireExport{
+		Format: exportFormat, Owner: uint32(e.owner), Floor: e.floor.UnixMilli(), Frozen: e.frozen.UnixMilli(),
+		TTL: e.ttl.Milliseconds(),
+	}
+	for _, x := range e.entries {
+		w.Keys = append(w.Keys, x.key.id[:]...)
+		w.Prints = binary.BigEndian.AppendUint64(w.Prints, uint64(x.fp))
+		w.Phases = append(w.Phases, byte(x.phase))
+		if x.phase == phaseAnswered {
+			w.Answers = append(w.Answers, toWire(x.answer))
+		}
+	}
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > MaxExport {
+		return nil, ErrExportSize
+	}
+	return exportEncoder().EncodeAll(data, nil), nil
+}
+
+func toWire(a Answer) wireAnswer {
+	w := wireAnswer{Status: a.status, Body: a.body}
+	for _, f := range a.header {
+		w.Header = append(w.Header, f.Name+"\n"+f.Value+"\n"...)
+	}
+	return w
+}
+
+// DecodeExport reads what EncodeExport returned. The errors are ErrExportSize and ErrExportMalformed.
+func DecodeExport(data []byte) (Export, error) {
+	if len(data) > MaxExport {
+		return Export{}, ErrExportSize
+	}
+	plain, err := exportDecoder().DecodeAll(data, nil)
+	if errors.Is(err, zstd.ErrDecoderSizeExceeded) {
+		return Export{}, ErrExportSize
+	}
+	if err != nil {
+		return Export{}, ErrExportMalformed
+	}
+	var w wireExport
+	if err := exportMode().Unmarshal(plain, &w); err != nil {
+		return Export{}, ErrExportMalformed
+	}
+	return w.export()
+}
+
+func (w wireExport) export() (Export, error) {
+	if !w.sound() {
+		return Export{}, ErrExportMalformed
+	}
+	e := Export{
+		owner: Tag(w.Owner), floor: time.UnixMilli(w.Floor), frozen: time.UnixMilli(w.Frozen),
+		ttl: time.Duration(w.TTL) * time.Millisecond, entries: make([]exported, len(w.Phases)),
+	}
+	answers, left := w.Answers, MaxExportAnswers
+	for n := range e.entries {
+		x := &e.entries[n]
+		copy(x.key.id[:], w.Keys[n*keySize:])
+		x.fp = Fingerprint(binary.BigEndian.Uint64(w.Prints[n*fingerprintSize:]))
+		x.phase = phase(w.Phases[n])
+		if !x.belongs(e.owner) || n > 0 && byMinting(e.entries[n-1], *x) >= 0 {
+			return Export{}, ErrExportMalformed
+		}
+		if x.phase != phaseAnswered {
+			continue
+		}
+		if len(answers) == 0 || !answers[0].sound() || answers[0].size() > left {
+			return Export{}, ErrExportMalformed
+		}
+		left -= answers[0].size()
+		x.answer, answers = answers[0].answer(), answers[1:]
+	}
+	if len(answers) > 0 {
+		return Export{}, ErrExportMalformed
+	}
+	return e, nil
+}
+
+// sound tells whether the fields agree with each other.
+func (w wireExport) sound() bool {
+	n := len(w.Phases)
+	switch {
+	case w.Format != exportFormat || n > MaxExportKeys:
+		return false
+	case len(w.Keys) != n*keySize || len(w.Prints) != n*fingerprintSize:
+		return false
+	case w.TTL <= 0 || w.TTL > maxExportTTL.Milliseconds():
+		return false
+	}
+	return true
+}
+
+// belongs tells whether the key is one that the owner may have settled.
+func (x exported) belongs(owner Tag) bool {
+	if x.key.id.Version() != 7 || x.key.id.Variant() != uuid.RFC4122 || x.key.Owner() != owner {
+		return false
+	}
+	return x.phase == phaseAnswered || x.phase == phaseNotRun || x.phase == phaseUnknown
+}
+
+// fields returns the number of header fields.
+func (w wireAnswer) fields() int { return bytes.Count(w.Header, newline) / 2 }
+
+// size returns what Answer.size will be, before any memory is taken for it.
+func (w wireAnswer) size() int {
+	return len(w.Body) + len(w.Header) + (fieldSize-2)*w.fields()
+}
+
+func (w wireAnswer) sound() bool {
+	ended := len(w.Header) == 0 || bytes.HasSuffix(w.Header, newline)
+	return goodStatus(w.Status) && ended && bytes.Count(w.Header, newline)%2 == 0
+}
+
+func (w wireAnswer) answer() Answer {
+	a := Answer{status: w.Status, body: w.Body, header: make([]Field, 0, w.fields())}
+	texts := strings.Split(string(w.Header), "\n")
+	for n := range w.fields() {
+		a.header = append(a.header, Field{Name: texts[2*n], Value: texts[2*n+1]})
+	}
+	return a
+}
+
+func goodStatus(status int) bool { return status >= minStatus && status <= maxStatus }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,6 +37,9 @@
 	Skew     time.Duration // largest difference between the clocks of two nodes
 	MaxKeys  int           // keys remembered
 	MaxBytes int           // bytes of kept answers
+
+	ExportKeys  int // keys of an export, at most MaxExportKeys
+	ExportBytes int // bytes of answers in an export, at most MaxExportAnswers
 }
 
 // Defaults of Settings.
@@ -75,8 +78,12 @@
 	queue    mintQueue
 	bytes    int
 	answers  []*entry // entries with a kept answer, oldest answer first
+	frozen   bool     // for good
+	frozenAt time.Time
 
-	forget func(m *Machine, e *entry) // seam: raises the floor when an entry is dropped
+	forget  func(m *Machine, e *entry)            // seam: raises the floor when an entry is dropped
+	sealed  func(m *Machine) bool                 // seam: whether the ledger may be exported
+	covered func(floor, left time.Time) time.Time // seam: floor of an export that left out a key
 }
 
 // NewMachine returns an empty ledger of the process with that tag, which started at start.
@@ -88,6 +95,8 @@
 		floor:    start.Truncate(time.Millisecond).Add(-time.Millisecond),
 		entries:  make(map[Key]*entry),
 		forget:   raiseFloor,
+		sealed:   isFrozen,
+		covered:  floorAt,
 	}
 }
 
@@ -104,6 +113,12 @@
 	if s.MaxBytes <= 0 {
 		s.MaxBytes = DefaultMaxBytes
 	}
+	if s.ExportKeys <= 0 || s.ExportKeys > MaxExportKeys {
+		s.ExportKeys = MaxExportKeys
+	}
+	if s.ExportBytes <= 0 || s.ExportBytes > MaxExportAnswers {
+		s.ExportBytes = MaxExportAnswers
+	}
 	return s
 }
 
@@ -113,7 +128,7 @@
 	if e, ok := m.entries[key]; ok {
 		return e.verdict(fp), e.answer
 	}
-	if key.Owner() != m.owner {
+	if m.frozen || key.Owner() != m.owner {
 		return VerdictStale, Answer{}
 	}
 	minted := key.Minted()
--- a/ledger/shared.go
+++ b/ledger/shared.go
@@ -28,6 +28,21 @@
 	l.machine.owner = owner
 }
 
+// Owner returns the tag of the process.
+func (l *Ledger) Owner() Tag {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.owner
+}
+
+// Freeze ends the running of keys for good and returns the final export.
+func (l *Ledger) Freeze(now time.Time) (Export, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.machine.Freeze(now)
+	return l.machine.Export()
+}
+
 // Begin is like Machine.Begin. With VerdictWait, the channel is closed when the running call has
 // ended; Begin must then be called again.
 func (l *Ledger) Begin(now time.Time, key Key, fp Fingerprint) (Verdict, Answer, <-chan struct{}) {
