call: hand the ledger to two successors and ask them for keys of departed nodes

Ruled out: a path of its own for questions about keys. The forward path carries what the fingerprint is made of already, and an owner never runs a key with another tag. Ranking only nodes that are ready: a ranking that follows states differs between views more often. Asking two only: a new process at the old address, which the old owner did not rank, may push one of the two to the third place.

Change: Owner.Handover freezes, exports and posts to two successors at once, ranked by rendezvous hash over the service's members, the second in another failure domain. The owner's handler takes exports; a forwarded call always names a service and so never counts as one, and the callers' port refuses the path. A node that does not know a key of another tag looks into the exports that it keeps. An ingress asks up to three successors, for 500 ms and the call's deadline at most, when the owner is in no view or nothing could be sent; only a replay, "key-refused" and "key-reused" count. Node.Shutdown hands over after owner.Close, 2 s at most. Five counters handover_*.

Not covered: a new process at the owner's address that the view does not show yet answers "forgotten" itself, and no successor is asked.

--- a/call/ingress.go
+++ b/call/ingress.go
@@ -128,6 +128,10 @@
 		i.serveKeys(w, r, snap)
 		return
 	}
+	if r.URL.Path == HandoverPath {
+		i.refuse(w, bad(http.StatusNotFound, ReasonNoRoute, "the path is not for callers"))
+		return
+	}
 	if hasDotSegment(r.URL.Path) {
 		i.refuse(w, bad(http.StatusBadRequest, ReasonPath, "the path must not hold . or .. segments"))
 		return
--- a/call/ingress_keyed.go
+++ b/call/ingress_keyed.go
@@ -14,7 +14,7 @@
 func (i *Ingress) serveKeyed(ctx context.Context, q *request, good *bool) *refusal {
 	owner, f := i.keyOwner(q)
 	if f != nil {
-		return f
+		return i.askSuccessors(ctx, q, *f, good)
 	}
 	i.firstAttempt(q)
 	a := i.forwardKeyed(ctx, q, owner.Key())
@@ -28,7 +28,7 @@
 	if a.clean && !q.first {
 		a.fault = unknown(ReasonOwnerGone, "the node that the key names can't be reached, and an earlier attempt may have run")
 	}
-	return &a.fault
+	return i.askSuccessors(ctx, q, a.fault, good)
 }
 
 // forwardKeyed forwards once and counts the end of a refused attempt.
@@ -107,6 +107,13 @@
 	return i.owners.lookup(q.snapshot.View(), tag)
 }
 
+// ambiguous tells whether more than one member has the tag.
+func (i *Ingress) ambiguous(q *request, tag ledger.Tag) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.owners.table(q.snapshot.View()).twice[tag]
+}
+
 // ownerIndex finds the members of a view by the tags in request keys. It keeps the view before the newest
 // too, which requests in flight may still use.
 type ownerIndex struct {
@@ -121,14 +128,18 @@
 
 // lookup returns the member with that tag, and false when there is none or more than one.
 func (x *ownerIndex) lookup(view *member.View, tag ledger.Tag) (member.Member, bool) {
+	return x.table(view).member(tag)
+}
+
+func (x *ownerIndex) table(view *member.View) *ownerTable {
 	for n := range x.recent {
 		if x.recent[n].view == view {
-			return x.recent[n].member(tag)
+			return &x.recent[n]
 		}
 	}
 	x.recent[1] = x.recent[0]
 	x.recent[0] = newOwnerTable(view)
-	return x.recent[0].member(tag)
+	return &x.recent[0]
 }
 
 func newOwnerTable(view *member.View) ownerTable {
--- a/call/keyed.go
+++ b/call/keyed.go
@@ -22,7 +22,7 @@
 	defer cancel()
 	fp := body.fingerprint(r)
 	for {
-		verdict, answer, done := o.ledger.Begin(o.timers.Now(), key, fp)
+		verdict, answer, done := o.begin(key, fp)
 		switch verdict {
 		case ledger.VerdictRun:
 			o.runKeyed(ctx, w, r, body, deadline, key)
--- a/call/owner.go
+++ b/call/owner.go
@@ -52,6 +52,8 @@
 	draining atomic.Bool
 	calls    *flight
 	counters ownerCounters
+	departed *departedStore
+	handover handoverCounters
 
 	tombstone func(now time.Time, key ledger.Key)   // seam: makes "not run" final
 	protect   func(req *http.Request) *http.Request // seam: keeps net/http from repeating calls
@@ -73,6 +75,9 @@
 
 // NewOwner returns an owner without a backend server.
 func NewOwner(s OwnerSettings) *Owner {
+	if s.Scope == nil {
+		s.Scope = tally.NoopScope
+	}
 	o := &Owner{
 		fleet:    s.Fleet,
 		snapshot: s.Snapshot,
@@ -82,6 +87,8 @@
 		ledger:   ledger.New(s.Ledger, ledger.TagOf(s.Self), s.Timers.Now()),
 		calls:    newFlight(),
 		counters: newOwnerCounters(s.Scope),
+		departed: &departedStore{kept: ledger.NewDeparted()},
+		handover: newHandoverCounters(s.Scope),
 	}
 	o.tombstone = o.ledger.Refuse
 	o.protect = protect
@@ -93,9 +100,6 @@
 }
 
 func newOwnerCounters(scope tally.Scope) ownerCounters {
-	if scope == nil {
-		scope = tally.NoopScope
-	}
 	return ownerCounters{
 		outcomes: outcomeCounters(scope.SubScope("owner")),
 		replays:  scope.Counter("owner_replays"),
@@ -167,6 +171,10 @@
 func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.calls.begin()
 	defer o.calls.end()
+	if isHandover(r) {
+		o.serveHandover(w, r)
+		return
+	}
 	body, err := readPayload(r)
 	if err != nil {
 		o.refuse(w, bad(http.StatusBadRequest, ReasonBody, "the body of the request broke off"))
--- /dev/null
+++ b/call/successors.go
@@ -0,0 +1,55 @@
+package call
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bambooknot/bambooknot/ledger"
+	"github.com/bambooknot/bambooknot/member"
+)
+
+// successors returns the first members of a service that keep the export of the process with that tag,
+// in the order in which they are asked: by rendezvous hash, but the second one in another failure
+// domain than the first, if there is any. Nodes with one view rank alike.
+func successors(view *member.View, service string, owner ledger.Tag, most int) []member.Key {
+	ranked := make([]member.Member, 0, len(view.Service(service)))
+	for _, m := range view.Service(service) {
+		if ledger.TagOf(m.Key()) != owner {
+			ranked = append(ranked, m)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b member.Member) int {
+		return cmp.Or(cmp.Compare(weight(owner, b), weight(owner, a)), a.Key().Peer().Compare(b.Key().Peer()))
+	})
+	spread(ranked)
+	keys := make([]member.Key, 0, most)
+	for _, m := range ranked[:min(most, len(ranked))] {
+		keys = append(keys, m.Key())
+	}
+	return keys
+}
+
+// spread moves the first member of another failure domain to the second place.
+func spread(ranked []member.Member) {
+	for n := 1; n < len(ranked); n++ {
+		if ranked[n].Place() == ranked[0].Place() {
+			continue
+		}
+		other := ranked[n]
+		copy(ranked[2:n+1], ranked[1:n])
+		ranked[1] = other
+		return
+	}
+}
+
+func weight(owner ledger.Tag, m member.Member) uint64 {
+	var buf [22]byte
+	addr := m.Key().Peer().Addr().As16()
+	binary.BigEndian.PutUint32(buf[:], uint32(owner))
+	copy(buf[4:], addr[:])
+	binary.BigEndian.PutUint16(buf[20:], m.Key().Peer().Port())
+	return xxhash.Sum64(buf[:])
+}
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,8 @@
 	hearTime = 2 * time.Second
 	// leaveTime is how long the last claims of a leaving node have to be sent.
 	leaveTime = 300 * time.Millisecond
+	// handoverTime bounds the handover of the ledger to other nodes.
+	handoverTime = 2 * time.Second
 	// gaugePeriod is the time between two updates of the gauges.
 	gaugePeriod = 5 * time.Second
 )
@@ -266,12 +268,22 @@
 	err := n.callers.drain(n.settings.Node().DrainTimeout())
 	n.ingress.Close()
 	n.owner.Close()
+	n.handOver()
 	n.queue.post(message.LeaveAsked{})
 	n.wait(leaveTime)
 	n.Close()
 	return err
 }
 
+// handOver sends the final export of the ledger to other nodes. A failure leaves keys of this process
+// unknown, as after a crash.
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
+	defer cancel()
+	copies, err := n.owner.Handover(ctx, n.forward)
+	n.log.Info().Int("copies", copies).Err(err).Msg("handed the ledger over")
+}
+
 func (n *Node) wait(d time.Duration) {
 	over := make(chan struct{})
 	sub := n.clock.After(d, func(time.Time) { close(over) })
