--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +79,6 @@
 	if err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(s.Limits().Memory())
 	self := member.New(member.NewKey(s.Node().Peer(), member.Incarnation(clock.Now().UnixMicro())), s.Node().Place(), record.SchemaNewest)
 	metrics := metric.New(map[string]string{"region": string(s.Node().Region())})
 	n := &Node{
@@ -152,8 +150,11 @@
 	n.peers = newPeerEdge(sockets.peer, s.Fleet().Name(), n.self.Key(), dialer, n.queue.offer, n.calls.ServeConn, scope)
 	n.server = newServerEdge(n.clock, n.serverChanged)
 	n.thread = newThread(core, n.clock, n.queue, &n.pinned, n.execute, n.joined, n.renamed)
-	gauges := metric.NewFleet(scope)
-	n.gauges = n.clock.Every(gaugePeriod, func(now time.Time) { gauges.Record(now, n.Status()) })
+	gauges, counters := metric.NewFleet(scope), metric.NewControl(scope)
+	n.gauges = n.clock.Every(gaugePeriod, func(now time.Time) {
+		gauges.Record(now, n.Status())
+		n.queue.ask(func() { counters.Record(n.thread.core.FleetCounts(), n.thread.core.Counts()) })
+	})
 }
 
 // startPorts starts to serve the HTTP ports.
