call: ask successors also when a kept connection broke first

Cause: TestSuccessorTellsWhatBecameOfKeys was flaky, 5 of 80 runs with -race: "broken", with the owner still in the view. A kept connection to the owner that is gone breaks, the second attempt finds nobody, and the call ended as "broken" without a successor being asked. The test was right, the code was not.

Ruled out: closing idle connections in the test, which would hide the fault from callers of real nodes.

Change: the last attempt decides: when no byte of it could be sent, the successors are asked. It is safe, since the export lists all that the frozen owner ran; without one the call stays "broken". The node tests share the publish.

--- a/call/handover.go
+++ b/call/handover.go
@@ -177,9 +177,10 @@
 }
 
 // askSuccessors asks the nodes that may keep the export of an owner that is gone. Only what an export
-// tells counts; otherwise the fault stands.
+// tells counts; otherwise the fault stands. An attempt that broke before does no harm: the export lists
+// all that the owner ran.
 func (i *Ingress) askSuccessors(ctx context.Context, q *request, fault refusal, good *bool) *refusal {
-	if fault.outcome != OutcomeUnknown || fault.reason != ReasonOwnerGone || !q.body.whole() {
+	if fault.outcome != OutcomeUnknown || !q.body.whole() {
 		return &fault
 	}
 	key, err := ledger.ParseKey(i.settings.Fleet, q.r.Header.Get(HeaderKey))
--- a/call/handover_test.go
+++ b/call/handover_test.go
@@ -37,7 +37,7 @@
 		}
 		for range 2 {
 			again := f.do(http.MethodPost, "/commission", "x", HeaderKey, ran)
-			f.c.Assert(again.outcome, qt.Equals, OutcomeAnswered)
+			f.c.Assert(again.outcome, qt.Equals, OutcomeAnswered, qt.Commentf("%v in view %v", again.reason, inView))
 			f.c.Assert(again.body, qt.Equals, first.body)
 			for _, key := range []string{never, refused} {
 				f.c.Assert(f.do(http.MethodPost, "/commission", "x", HeaderKey, key).reason, qt.Equals, ReasonKeyRefused)
--- a/call/ingress_keyed.go
+++ b/call/ingress_keyed.go
@@ -18,8 +18,11 @@
 	}
 	i.firstAttempt(q)
 	a := i.forwardKeyed(ctx, q, owner.Key())
+	gone := a.clean
 	if a.resp == nil && i.mayRepeat(ctx, q, a) {
-		a = repeated(a, i.forwardKeyed(ctx, q, owner.Key()))
+		again := i.forwardKeyed(ctx, q, owner.Key())
+		gone = again.clean
+		a = repeated(a, again)
 	}
 	if a.resp != nil {
 		i.pass(q, owner.Key(), a.resp, good)
@@ -28,6 +31,9 @@
 	if a.clean && !q.first {
 		a.fault = unknown(ReasonOwnerGone, "the node that the key names can't be reached, and an earlier attempt may have run")
 	}
+	if !gone {
+		return &a.fault
+	}
 	return i.askSuccessors(ctx, q, a.fault, good)
 }
 
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -10,12 +9,10 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/google/uuid"
 
 	"github.com/bambooknot/bambooknot/call"
 	"github.com/bambooknot/bambooknot/ledger"
 	"github.com/bambooknot/bambooknot/node"
-	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/standin"
 	"github.com/bambooknot/bambooknot/timer"
 )
@@ -66,11 +63,7 @@
 	}
 	startBackend(t, at[1][2])
 	startBackend(t, at[2][2])
-	change := record.NewChangeSet(uuid.New(), "test", 0, []record.Record{
-		record.NewService(record.Schema1, "radionica", 0),
-		record.NewRoute("termin", "/termin", "radionica", false),
-	}, nil)
-	qt.Assert(t, nodes[0].Publish(context.Background(), change).Outcome().Accepted(), qt.IsTrue)
+	publishRoute(t, nodes[0])
 	ran, never := keyOf(t, at[0][1], nodes[1]), keyOf(t, at[0][1], nodes[1])
 	_ = keyOf(t, at[1][1], nodes[2]) // the owner knows its successor
 	qt.Assert(t, post(t, at[0][1], ran).Get(call.HeaderOutcome), qt.Equals, string(call.OutcomeAnswered))
--- a/node/rename_test.go
+++ b/node/rename_test.go
@@ -73,6 +73,15 @@
 	t.Cleanup(func() { announcer.Close(); front.Close(); server.Close() })
 }
 
+// publishRoute publishes a route that needs request keys.
+func publishRoute(t *testing.T, n *node.Node) {
+	change := record.NewChangeSet(uuid.New(), "test", 0, []record.Record{
+		record.NewService(record.Schema1, "radionica", 0),
+		record.NewRoute("termin", "/termin", "radionica", false),
+	}, nil)
+	qt.Assert(t, n.Publish(context.Background(), change).Outcome().Accepted(), qt.IsTrue)
+}
+
 // A VM is replaced by one at the same address whose clock stands behind: its process must still be told
 // apart from the old one, and request keys that name it must be run.
 func TestReplacementWithClockBehind(t *testing.T) {
@@ -85,11 +94,7 @@
 	startBackend(t, back[2])
 	until(t, serving(ingress))
 	until(t, serving(owner))
-	change := record.NewChangeSet(uuid.New(), "test", 0, []record.Record{
-		record.NewService(record.Schema1, "radionica", 0),
-		record.NewRoute("termin", "/termin", "radionica", false),
-	}, nil)
-	qt.Assert(t, ingress.Publish(context.Background(), change).Outcome().Accepted(), qt.IsTrue)
+	publishRoute(t, ingress)
 	client := caller.New(caller.Settings{Node: front[1]})
 	defer client.Close()
 	answered := func() bool {
