--- a/docs_test.go
+++ b/docs_test.go
@@ -21,6 +21,7 @@
 	metricName = regexp.MustCompile(`bambooknot_([a-z_]+[a-z])`)
 	longFlag   = regexp.MustCompile(`--[a-z][a-z-]*`)
 	commandRow = regexp.MustCompile(`(?m)^  ([a-z]+)  +`)
+	testName   = regexp.MustCompile(`\b(?:Test|Fuzz)[A-Z][A-Za-z]+`)
 	sampleKey  = regexp.MustCompile(`(?m)^(?:# )?([a-z_]+) = `)
 )
 
@@ -147,23 +148,43 @@
 	qt.Check(t, examples >= 4, qt.IsTrue, qt.Commentf("%d examples", examples))
 }
 
-// TestMetricsInPages checks that each metric named in a page is counted somewhere in the source.
-func TestMetricsInPages(t *testing.T) {
-	var source strings.Builder
+// TestTestsInPages checks that each test, fuzz target and example named in a page is, or begins the name of,
+// a function of a test file.
+func TestTestsInPages(t *testing.T) {
+	source := sources(t, func(path string) bool { return strings.HasSuffix(path, "_test.go") })
+	named := 0
+	for path, text := range pages(t) {
+		for _, name := range testName.FindAllString(text, -1) {
+			qt.Check(t, source, qt.Contains, "\nfunc "+name, qt.Commentf("%s", path))
+			named++
+		}
+	}
+	qt.Check(t, named >= 60, qt.IsTrue, qt.Commentf("%d names", named))
+}
+
+// sources returns the Go files of which the path is wanted, joined.
+func sources(t *testing.T, wanted func(path string) bool) string {
+	var all strings.Builder
 	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
-		if err == nil && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
-			source.WriteString(readFile(t, path))
+		if err == nil && strings.HasSuffix(path, ".go") && wanted(path) {
+			all.WriteString(readFile(t, path))
 		}
 		return err
 	})
 	qt.Assert(t, err, qt.IsNil)
+	return all.String()
+}
+
+// TestMetricsInPages checks that each metric named in a page is counted somewhere in the source.
+func TestMetricsInPages(t *testing.T) {
+	source := sources(t, func(path string) bool { return !strings.HasSuffix(path, "_test.go") })
 	for path, text := range pages(t) {
 		for _, name := range metricName.FindAllStringSubmatch(text, -1) {
 			literal := `"` + name[1] + `"`
 			if other, ok := metricLiterals[name[1]]; ok {
 				literal = other
 			}
-			qt.Check(t, source.String(), qt.Contains, literal, qt.Commentf("%s", path))
+			qt.Check(t, source, qt.Contains, literal, qt.Commentf("%s", path))
 		}
 	}
 }
