relay: count the way of a push into the age of its statement

Cause: a push tells where the log ended when it was sent, and a node took that for the time of arrival. Ruled out: the pause rule and the joining rule, which add up as stated. Change: the statement of a push counts as 2 s older, the longest time that a push is taken to be on its way.

--- a/relay/knowledge.go
+++ b/relay/knowledge.go
@@ -14,6 +14,10 @@
 	pauseGuard = 500 * time.Millisecond
 )
 
+// maxPushTime bounds the time that a push is on its way. Nothing in a push tells that time, so its
+// statement is taken to be as much older.
+const maxPushTime = 2 * time.Second
+
 // knowledge is what a node has heard about the log and its readers.
 type knowledge struct {
 	heardAt  time.Time // last heartbeat, or the start
@@ -51,6 +55,11 @@
 	}
 }
 
+// learnPushed takes the statement of a push.
+func (k *knowledge) learnPushed(now time.Time, s message.Statement) {
+	k.learn(now, now.Add(-maxPushTime), s)
+}
+
 // statement returns what the node can tell others.
 func (k *knowledge) statement(now time.Time, limit time.Duration) message.Statement {
 	up := !k.upAt.IsZero() && now.Sub(k.upAt) <= limit
--- /dev/null
+++ b/relay/knowledge_test.go
@@ -0,0 +1,23 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/record"
+)
+
+// A push says where the log ended when it was sent, not when it arrives. Whoever passes that on must not
+// call it younger than it may be.
+func TestStatementOfPushCountsItsWay(t *testing.T) {
+	c := quicktest.New(t)
+	m := machineAt(0, nil, Defaults())
+	now := epoch.Add(time.Minute)
+	m.known.learnPushed(now, message.NewStatement(3, time.Second, true))
+	said := m.statement(now)
+	c.Assert(said.Next(), quicktest.Equals, record.Offset(3))
+	c.Assert(said.Age() >= time.Second+maxPushTime, quicktest.IsTrue, quicktest.Commentf("age %s", said.Age()))
+}
--- a/relay/push.go
+++ b/relay/push.go
@@ -186,7 +186,7 @@
 		m.known.heardAt = now
 		m.log.lone = m.settings.SilenceLone + m.jitter(m.settings.SilenceJitter)
 	}
-	m.known.learn(now, now, push.Entries().Statement())
+	m.known.learnPushed(now, push.Entries().Statement())
 	m.known.gap, m.known.gapAt = push.Entries().Statement().Gap(), now
 	m.tree.learnRegions(now, m.self.Place().Region(), push.Census())
 }
