--- a/tomldoc/value.go
+++ b/tomldoc/value.go
@@ -176,8 +176,8 @@
 	return d
 }
 
-// AddrPort returns an IP address with a port other than zero. Without the key it returns the zero
-// address. Host names are faults, as nodes resolve none.
+// AddrPort returns an IP address with a port other than zero, or fallback when the key is not set. Host
+// names are faults, as nodes resolve none.
 func (t *Table) AddrPort(key string, fallback netip.AddrPort) netip.AddrPort {
 	v, ok := t.take(key)
 	if !ok {
