--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			return out, err
 		}
-		*f.into = Fit(points).At(f.at)
+		*f.into = Estimate(points, f.at)
 	}
 	out.checkTime /= 1e6
 	var ok bool
--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -30,3 +30,16 @@
 
 // At returns the figure at a size.
 func (l Line) At(size float64) float64 { return l.base + l.slope*size }
+
+// Estimate returns the figure at a size from the line through points. Beyond the measured sizes it does
+// not go below the greatest figure measured: a fall there is noise, or does not last.
+func Estimate(points []Point, size float64) float64 {
+	value := Fit(points).At(size)
+	if size <= float64(points[len(points)-1].size) {
+		return value
+	}
+	for _, p := range points {
+		value = max(value, p.value)
+	}
+	return value
+}
--- a/capacity/slope_test.go
+++ b/capacity/slope_test.go
@@ -27,3 +27,9 @@
 	line := Fit([]Point{{size: 12, value: 3}, {size: 12, value: 5}})
 	qt.Assert(t, line.At(580), qt.Equals, 4.0)
 }
+
+func TestEstimateDoesNotFallBeyondTheSizes(t *testing.T) {
+	points := []Point{{size: 12, value: 4}, {size: 48, value: 3}, {size: 120, value: 2}}
+	qt.Assert(t, Estimate(points, 580), qt.Equals, 4.0)
+	qt.Assert(t, Estimate(points, 100) < 3, qt.IsTrue)
+}
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -95,13 +95,13 @@
 		for i, p := range points {
 			measured[i] = fmt.Sprintf("%.4g at %d", p.value, p.size)
 		}
-		fmt.Fprintf(b, "| %s | %s | %.3g | %s |\n", row.label, strings.Join(measured, ", "), line.slope, atDesign(points, line, row.at, row.unit))
+		fmt.Fprintf(b, "| %s | %s | %.3g | %s |\n", row.label, strings.Join(measured, ", "), line.slope, atDesign(points, row.at, row.unit))
 	}
 	return nil
 }
 
 // atDesign returns the figure measured at the size of the design, or one from the line, marked so.
-func atDesign(points []Point, line Line, size float64, unit string) string {
+func atDesign(points []Point, size float64, unit string) string {
 	for _, p := range points {
 		if float64(p.size) == size {
 			return fmt.Sprintf("%.4g %s", p.value, unit)
@@ -111,7 +111,7 @@
 	if last := points[len(points)-1]; size < float64(last.size) {
 		mark = "interpolated"
 	}
-	return fmt.Sprintf("%.4g %s (%s)", line.At(size), unit, mark)
+	return fmt.Sprintf("%.4g %s (%s)", Estimate(points, size), unit, mark)
 }
 
 func writeStorms(b *strings.Builder, r Results) {
