--- a/capacity/plot.go
+++ b/capacity/plot.go
@@ -12,6 +12,7 @@
 const (
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
+	legendRoom = 1.3 // height of the axis over the greatest value, so that the legend covers no curve
 )
 
 // curve is one line of a plot.
@@ -83,6 +84,7 @@
 		p.Add(line, marks)
 		p.Legend.Add(curve.label, line, marks)
 	}
+	p.Y.Max *= legendRoom
 	return p.Save(plotWidth, plotHeight, filepath.Join(folder, c.file))
 }
 
