caller: guard the scripted server of the tests against its own goroutines

The scripted server of the test kept its requests without a lock, and after a broken answer the next request comes on another connection's goroutine. Ruled out: the client, which is not part of the race.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -58,6 +59,7 @@
 
 // script answers the attempts of a call one after the other.
 type script struct {
+	mu       sync.Mutex // handlers run on the goroutines of their connections
 	c        *qt.C
 	attempts []attempt
 	seen     []http.Header
@@ -69,15 +71,30 @@
 	broken  bool
 }
 
+// next notes a request and returns what is to become of it.
+func (s *script) next(r *http.Request) attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, r.Header.Clone())
+	a := s.attempts[0]
+	s.attempts = s.attempts[1:]
+	return a
+}
+
+// headers returns the headers of the requests seen so far.
+func (s *script) headers() []http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
 func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == call.KeysPath {
 		w.Header().Set(call.HeaderOutcome, "answered")
 		_, _ = w.Write([]byte(`{"keys":["k1","k2","k3","k4"]}`))
 		return
 	}
-	s.seen = append(s.seen, r.Header.Clone())
-	a := s.attempts[0]
-	s.attempts = s.attempts[1:]
+	a := s.next(r)
 	if a.broken {
 		w.Header().Set("Content-Length", "100")
 		_, _ = w.Write([]byte("short"))
@@ -114,7 +131,7 @@
 			got := client.Do(context.Background(), caller.Call{Method: "POST", Path: "/x", Route: "x", Keyed: true})
 			c.Assert(got.Outcome(), qt.Equals, test.outcome)
 			var keys, first []string
-			for _, h := range s.seen {
+			for _, h := range s.headers() {
 				keys = append(keys, h.Get(call.HeaderKey))
 				first = append(first, h.Get(call.HeaderAttempt))
 			}
@@ -149,8 +166,8 @@
 	parent.Set(call.HeaderTimeout, "800")
 	got := client.Do(context.Background(), caller.Call{Method: "POST", Path: "/x", Keyed: true, Parent: parent})
 	c.Assert(got.Outcome(), qt.Equals, call.OutcomeNotRun)
-	c.Assert(s.seen, qt.HasLen, 1)
-	c.Assert(s.seen[0].Get(call.HeaderDepth), qt.Equals, "7")
-	c.Assert(s.seen[0].Get(call.HeaderNoRetry), qt.Equals, "1")
-	c.Assert(len(s.seen[0].Get(call.HeaderTimeout)) <= 3, qt.IsTrue)
+	c.Assert(s.headers(), qt.HasLen, 1)
+	c.Assert(s.headers()[0].Get(call.HeaderDepth), qt.Equals, "7")
+	c.Assert(s.headers()[0].Get(call.HeaderNoRetry), qt.Equals, "1")
+	c.Assert(len(s.headers()[0].Get(call.HeaderTimeout)) <= 3, qt.IsTrue)
 }
