node: give the test's nodes hosts and ports of their own

The test took free ports, let them go and bound them again; on a busy machine an outgoing connection had got one meanwhile. Ruled out: a node that left its socket open; the failure came at the first start. Change: each node has a loopback host of its own and ports below the range of outgoing connections.

--- a/node/rename_test.go
+++ b/node/rename_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,12 +32,21 @@
 // addresses are those of one node: peer, callers, server, observe, operators.
 type addresses [5]netip.AddrPort
 
+// network and hosts make up the loopback addresses of the nodes of one test process.
+var (
+	network = [2]byte{byte(1 + rand.IntN(250)), byte(rand.IntN(256))}
+	hosts   atomic.Int32
+)
+
+// freeAddresses returns addresses of a host of its own, with ports below those that the system gives to
+// outgoing connections.
 func freeAddresses(t *testing.T) (a addresses) {
+	host := netip.AddrFrom4([4]byte{127, network[0], network[1], byte(hosts.Add(1))})
 	for i := range a {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		a[i] = netip.AddrPortFrom(host, uint16(7100+i))
+		l, err := net.Listen("tcp", a[i].String())
 		qt.Assert(t, err, qt.IsNil)
-		a[i] = l.Addr().(*net.TCPAddr).AddrPort()
-		defer func() { _ = l.Close() }()
+		qt.Assert(t, l.Close(), qt.IsNil)
 	}
 	return a
 }
