node, link: use the limits and the period that other parts define

The size of a datagram stood in link and in wire, the period of the control core in node and in control, and node made two dialers of one fleet; a function that nothing called is gone. Behaviour is the same.

--- a/link/datagram.go
+++ b/link/datagram.go
@@ -9,9 +9,6 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// MaxDatagram is the largest frame, in bytes, that is sent as one datagram. Larger ones go over TCP.
-const MaxDatagram = 1200
-
 // Datagrams sends and receives frames over one UDP socket.
 type Datagrams struct {
 	conn     *net.UDPConn
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	server  *serverEdge
 	ingress *call.Ingress
 	owner   *call.Owner
+	dialer  *link.Dialer
 	forward *link.Forward
 	calls   *link.Calls
 	gauges  *timer.Subscription
@@ -96,8 +97,8 @@
 // startTraffic makes the parts that carry calls. They answer "not run" until the node has joined.
 func (n *Node) startTraffic() {
 	s := n.settings
-	dialer := link.NewDialer(s.Fleet().Name())
-	n.forward = link.NewForward(dialer)
+	n.dialer = link.NewDialer(s.Fleet().Name())
+	n.forward = link.NewForward(n.dialer)
 	n.owner = call.NewOwner(call.OwnerSettings{
 		Fleet:     s.Fleet().Name(),
 		Self:      n.self.Key(),
@@ -146,8 +147,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
 	scope := n.metrics.Scope()
 	n.logs = newLogEdge(platform.NewLog(s.Log().Address(), client), s.Log().ReadTimeout(), s.Log().AppendTimeout(), n.post)
-	dialer := link.NewDialer(s.Fleet().Name())
-	n.peers = newPeerEdge(sockets.peer, s.Fleet().Name(), n.self.Key(), dialer, n.queue.offer, n.calls.ServeConn, scope)
+	n.peers = newPeerEdge(sockets.peer, s.Fleet().Name(), n.self.Key(), n.dialer, n.queue.offer, n.calls.ServeConn, scope)
 	n.server = newServerEdge(n.clock, n.serverChanged)
 	n.thread = newThread(core, n.clock, n.queue, &n.pinned, n.execute, n.joined, n.renamed)
 	gauges, counters := metric.NewFleet(scope), metric.NewControl(scope)
--- a/node/peeredge.go
+++ b/node/peeredge.go
@@ -82,7 +82,7 @@
 		p.unsent.Inc(1)
 		return
 	}
-	if len(frame) > link.MaxDatagram {
+	if len(frame) > wire.MaxDatagram {
 		p.frames.Send(s.To(), frame)
 		return
 	}
--- a/node/serveredge.go
+++ b/node/serveredge.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/bambooknot/bambooknot/member"
-	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/timer"
 )
 
@@ -122,6 +121,3 @@
 
 // Close ends the check and waits for it.
 func (s *serverEdge) Close() { s.check.Close() }
-
-// announced turns a change into the event for the control thread.
-func announced(server member.Server) message.Event { return message.NewServerAnnounced(server) }
--- a/node/thread.go
+++ b/node/thread.go
@@ -11,9 +11,6 @@
 	"github.com/bambooknot/bambooknot/timer"
 )
 
-// controlPeriod is the time between two ticks of the control core.
-const controlPeriod = 100 * time.Millisecond
-
 // thread is the control thread: the one goroutine that owns the control core. It takes events in the
 // order of their arrival, has the actions executed by the edges, and publishes snapshots to traffic.
 type thread struct {
@@ -42,7 +39,7 @@
 		self:     core.Self().Key(),
 		queue:    q,
 	}
-	t.ticks = clock.Every(controlPeriod, func(time.Time) { q.offer(message.Ticked{}) })
+	t.ticks = clock.Every(control.TickPeriod, func(time.Time) { q.offer(message.Ticked{}) })
 	t.wg.Go(func() {
 		for {
 			select {
