--- /dev/null
+++ b/exchange/message.go
@@ -0,0 +1,105 @@
+// Package exchange speaks HTTP/1.1 on both sides of a node: a server that keeps pipelined requests in order
+// and notices callers that leave, and a client that tells whether a request can have reached its server. It
+// reads and writes messages with net/http, but keeps connections itself: http.Server stops watching a
+// connection once a pipelined request has arrived, and http.Transport repeats requests on its own and
+// takes any answer on a connection for the answer to the request sent last.
+package exchange
+
+import (
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Request is one request, read whole.
+type Request struct {
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	from     netip.AddrPort
+	received time.Time
+	minor    int
+}
+
+// NewRequest returns a request to be sent. target is the path with the query, as it stands on the wire. It
+// keeps header and body.
+func NewRequest(method, target, host string, header http.Header, body []byte) *Request {
+	return &Request{method: method, target: target, host: host, header: header, body: body, minor: 1}
+}
+
+// Method returns the method.
+func (r *Request) Method() string { return r.method }
+
+// Target returns the path with the query, as the caller sent it.
+func (r *Request) Target() string { return r.target }
+
+// Host returns the host that the request names.
+func (r *Request) Host() string { return r.host }
+
+// Header returns the headers without those of one connection. The receiver may change them.
+func (r *Request) Header() http.Header { return r.header }
+
+// Body returns the body. It must not be changed.
+func (r *Request) Body() []byte { return r.body }
+
+// From returns the address of the sender, if the request was received.
+func (r *Request) From() netip.AddrPort { return r.from }
+
+// Received returns when the request was read, if it was received.
+func (r *Request) Received() time.Time { return r.received }
+
+// Response is one answer, whole.
+type Response struct {
+	status  int
+	header  http.Header
+	body    []byte
+	hangUp  bool
+	dropped bool
+}
+
+// NewResponse returns an answer. It keeps header and body; header may be nil.
+func NewResponse(status int, header http.Header, body []byte) *Response {
+	if header == nil {
+		header = make(http.Header)
+	}
+	return &Response{status: status, header: header, body: body}
+}
+
+// NewDrop returns the answer that closes the connection without a byte.
+func NewDrop() *Response { return &Response{dropped: true, hangUp: true} }
+
+// WithClose returns the answer after which the connection is closed.
+func (r *Response) WithClose() *Response {
+	r.hangUp = true
+	return r
+}
+
+// Status returns the status code.
+func (r *Response) Status() int { return r.status }
+
+// Header returns the headers without those of one connection.
+func (r *Response) Header() http.Header { return r.header }
+
+// Body returns the whole body.
+func (r *Response) Body() []byte { return r.body }
+
+// connectionHeaders concern one connection only and are never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// stripConnection removes the headers of one connection, those named by Connection included.
+func stripConnection(h http.Header) {
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/exchange/pool.go
@@ -0,0 +1,210 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// Errors of a request that got no answer.
+var (
+	// ErrClosed: the pool is closed.
+	ErrClosed = errors.New("connections are closed")
+	// ErrBroken: the connection ended, or carried something else than the answer.
+	ErrBroken = errors.New("connection broke before the answer was whole")
+	// errRetired: the connection was closed by this side.
+	errRetired = errors.New("connection was retired")
+)
+
+// Failure is the error of a request without an answer.
+type Failure struct {
+	sent bool
+	err  error
+}
+
+// Sent tells whether any byte of the request may have reached the peer.
+func (f *Failure) Sent() bool { return f.sent }
+
+// Error implements error.
+func (f *Failure) Error() string { return fmt.Sprintf("exchange (sent %t): %v", f.sent, f.err) }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.err }
+
+// NotSent tells whether an error of Do says that no byte of the request can have reached the peer.
+func NotSent(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && !f.sent
+}
+
+// PoolSettings of a Pool.
+type PoolSettings struct {
+	// Dial opens a connection.
+	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	// DialTimeout bounds the time to open a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept, unless the peer states less.
+	IdleTimeout time.Duration
+	// Idle bounds the idle connections to one peer.
+	Idle int
+	// BodyBytes bounds the body of an answer.
+	BodyBytes int
+	// Dialled is called for each new connection. It may be nil.
+	Dialled func()
+	// Stray is called for each answer that belongs to no request under way. It may be nil.
+	Stray func(from netip.AddrPort)
+	// Timers tells the time.
+	Timers *timer.Service
+}
+
+// Pool keeps connections to peers. A connection carries one request at a time.
+type Pool struct {
+	settings PoolSettings
+	wg       sync.WaitGroup
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*clientConn // longest idle first
+	all    map[*clientConn]bool
+	closed bool
+	sweep  *timer.Subscription
+}
+
+// sweepPeriod is the time between two searches for connections that were idle for too long.
+const sweepPeriod = time.Second
+
+// NewPool returns an empty pool.
+func NewPool(settings PoolSettings) *Pool {
+	p := &Pool{settings: settings, idle: make(map[netip.AddrPort][]*clientConn), all: make(map[*clientConn]bool)}
+	p.sweep = settings.Timers.Every(sweepPeriod, p.expire)
+	return p
+}
+
+// Do sends a request to a peer and returns the answer that belongs to it. Answers that belongs refuses are
+// passed over, as a peer may repeat an earlier answer. Nothing is sent twice. The error is a *Failure. When
+// the context ends first, the connection is closed, by which the peer learns of it.
+func (p *Pool) Do(ctx context.Context, to netip.AddrPort, r *Request, belongs func(http.Header) bool) (*Response, error) {
+	c, err := p.take(ctx, to)
+	if err != nil {
+		return nil, &Failure{err: oops.In("exchange.dial").With("peer", to).Wrap(err)}
+	}
+	answer, sent, err := c.do(ctx, r, belongs)
+	if err != nil {
+		c.retire()
+		return nil, &Failure{sent: sent, err: oops.In("exchange.do").With("peer", to).Wrap(err)}
+	}
+	p.put(c)
+	return answer, nil
+}
+
+// take returns an idle connection, or opens one.
+func (p *Pool) take(ctx context.Context, to netip.AddrPort) (*clientConn, error) {
+	if c := p.takeIdle(to); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	defer cancel()
+	conn, err := p.settings.Dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	if p.settings.Dialled != nil {
+		p.settings.Dialled()
+	}
+	c := newClientConn(p, conn, to)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = conn.Close()
+		return nil, ErrClosed
+	}
+	p.all[c] = true
+	p.wg.Go(c.readAnswers)
+	return c, nil
+}
+
+func (p *Pool) takeIdle(to netip.AddrPort) *clientConn {
+	now := p.settings.Timers.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		list := p.idle[to]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[to] = list[:len(list)-1]
+		if now.Before(c.idleUntil) && c.usable() {
+			return c
+		}
+		c.retire()
+	}
+}
+
+func (p *Pool) put(c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !c.usable() || len(p.idle[c.peer]) >= p.settings.Idle {
+		c.retire()
+		return
+	}
+	c.idleUntil = p.settings.Timers.Now().Add(c.keep(p.settings.IdleTimeout))
+	p.idle[c.peer] = append(p.idle[c.peer], c)
+}
+
+// Forget closes the idle connections to a peer, as when it has started anew.
+func (p *Pool) Forget(peer netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[peer]
+	delete(p.idle, peer)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.retire()
+	}
+}
+
+// expire closes connections that were idle for too long.
+func (p *Pool) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for peer, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) && c.usable() {
+				kept = append(kept, c)
+				continue
+			}
+			c.retire()
+		}
+		p.idle[peer] = kept
+		if len(kept) == 0 {
+			delete(p.idle, peer)
+		}
+	}
+}
+
+func (p *Pool) forget(c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.all, c)
+}
+
+// Close ends all connections and waits for their goroutines.
+func (p *Pool) Close() {
+	p.sweep.Close()
+	p.mu.Lock()
+	p.closed = true
+	for c := range p.all {
+		c.retire()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
--- /dev/null
+++ b/exchange/read.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Limits of what callers may send, and for how long.
+type Limits struct {
+	HeaderBytes int // largest head of a request
+	BodyBytes   int // largest body of a request
+}
+
+// Errors of a request that cannot be served.
+var (
+	errHeaderTooLarge = errors.New("request head exceeds the limit")
+	errBodyTooLarge   = errors.New("body exceeds the limit")
+	errMalformed      = errors.New("malformed request")
+)
+
+// headLimiter fails reads beyond the size of a request's head.
+type headLimiter struct {
+	inner io.Reader
+	left  int
+	over  bool
+}
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		l.over = true
+		return 0, errHeaderTooLarge
+	}
+	if len(p) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.inner.Read(p)
+	l.left -= n
+	return n, err
+}
+
+// unlimited stands for no limit while a body is read, which has its own.
+const unlimited = 1 << 62
+
+// readHead reads the head of a request. The error is errHeaderTooLarge, errMalformed, or of the connection.
+func readHead(br *bufio.Reader, limiter *headLimiter, limits Limits) (*http.Request, error) {
+	limiter.left = limits.HeaderBytes + br.Size()
+	req, err := http.ReadRequest(br)
+	limiter.left = unlimited
+	switch {
+	case limiter.over:
+		return nil, errHeaderTooLarge
+	case err == nil && req.Host == "":
+		return nil, errMalformed
+	case err == nil:
+		return req, nil
+	case isConnectionError(err):
+		return nil, err
+	}
+	return nil, errors.Join(errMalformed, err)
+}
+
+func isConnectionError(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &timeout)
+}
+
+// readAll reads a body of at most limit bytes.
+func readAll(body io.Reader, length int64, limit int) ([]byte, error) {
+	if length > int64(limit) {
+		return nil, errBodyTooLarge
+	}
+	if length == 0 {
+		return nil, nil
+	}
+	if length > 0 {
+		data := make([]byte, length)
+		_, err := io.ReadFull(body, data)
+		return data, err
+	}
+	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	if err == nil && len(data) > limit {
+		return nil, errBodyTooLarge
+	}
+	return data, err
+}
--- /dev/null
+++ b/exchange/server.go
@@ -0,0 +1,142 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// Settings of a Server.
+type Settings struct {
+	// Handle answers a request. The context ends when the caller has left.
+	Handle func(ctx context.Context, r *Request) *Response
+	// Limits returns what callers may send at present.
+	Limits func() Limits
+	// HeaderTimeout returns how long the head of a request may take at present.
+	HeaderTimeout func() time.Duration
+	// IdleTimeout returns how long a connection may be idle at present.
+	IdleTimeout func() time.Duration
+	// Timers tells the time.
+	Timers *timer.Service
+}
+
+// Server serves HTTP/1.1 connections.
+type Server struct {
+	settings Settings
+	listener net.Listener
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu       sync.Mutex
+	conns    map[*serverConn]bool
+	draining bool
+	closed   bool
+}
+
+// NewServer serves the connections accepted by listener until Close, and those given to ServeConn.
+// listener may be nil.
+func NewServer(listener net.Listener, settings Settings) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{settings: settings, listener: listener, cancel: cancel, conns: make(map[*serverConn]bool)}
+	if listener == nil {
+		return s
+	}
+	s.wg.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				if ctx.Err() != nil || !retryAccept(err) {
+					return
+				}
+				continue
+			}
+			s.wg.Go(func() { s.ServeConn(ctx, conn) })
+		}
+	})
+	return s
+}
+
+// acceptPause is the pause after a failed accept, as when descriptors are short.
+const acceptPause = 20 * time.Millisecond
+
+// retryAccept tells whether a listener may accept again, after a short pause.
+func retryAccept(err error) bool {
+	if ne, ok := err.(net.Error); ok && !ne.Timeout() {
+		if op, ok := err.(*net.OpError); ok && op.Err == net.ErrClosed {
+			return false
+		}
+	}
+	time.Sleep(acceptPause)
+	return true
+}
+
+// ServeConn serves one connection until it ends or the context does.
+func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
+	c := newServerConn(s, conn)
+	if !s.track(c) {
+		_ = conn.Close()
+		return
+	}
+	defer s.forget(c)
+	c.serve(ctx)
+}
+
+func (s *Server) track(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Server) forget(c *serverConn) {
+	_ = c.conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Drain has every connection closed after its next answer. Idle connections stay open, as a request may be
+// on its way.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Active returns the number of requests that were read and are not answered yet.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := 0
+	for c := range s.conns {
+		active += c.active()
+	}
+	return active
+}
+
+// Close stops accepting, ends all connections and waits for their handlers.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+	s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.cancel()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/exchange/write.go
@@ -0,0 +1,74 @@
+package exchange
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// buffers keeps the memory of encoded messages for further use.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// maxPooled bounds the buffers that are kept, in bytes.
+const maxPooled = 64 << 10
+
+func takeBuffer() *bytes.Buffer {
+	b, _ := buffers.Get().(*bytes.Buffer)
+	b.Reset()
+	return b
+}
+
+func putBuffer(b *bytes.Buffer) {
+	if b.Cap() <= maxPooled {
+		buffers.Put(b)
+	}
+}
+
+// encodeRequest writes a request. Its connection stays open.
+func encodeRequest(b *bytes.Buffer, r *Request) {
+	b.WriteString(r.method)
+	b.WriteByte(' ')
+	b.WriteString(r.target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.host)
+	b.WriteString("\r\n")
+	_ = r.header.Write(b) // a buffer takes all
+	if len(r.body) > 0 || hasBody(r.method) {
+		writeLength(b, len(r.body))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.body)
+}
+
+// hasBody tells whether requests of a method state the length of an empty body.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+func writeLength(b *bytes.Buffer, n int) {
+	b.WriteString("Content-Length: ")
+	b.WriteString(strconv.Itoa(n))
+	b.WriteString("\r\n")
+}
+
+// encodeResponse writes the answer to a request of that method. A HEAD request gets no body.
+func encodeResponse(b *bytes.Buffer, r *Response, method string, hangUp bool) {
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(strconv.Itoa(r.status))
+	b.WriteByte(' ')
+	b.WriteString(http.StatusText(r.status))
+	b.WriteString("\r\n")
+	_ = r.header.Write(b) // a buffer takes all
+	if hangUp {
+		b.WriteString("Connection: close\r\n")
+	}
+	bodiless := r.status == http.StatusNoContent || r.status == http.StatusNotModified || r.status < http.StatusOK
+	if !bodiless {
+		writeLength(b, len(r.body))
+	}
+	b.WriteString("\r\n")
+	if !bodiless && method != http.MethodHead {
+		b.Write(r.body)
+	}
+}
--- /dev/null
+++ b/standin/log_newest.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// Topics of which the newest entry of each key is kept for ever.
+const keyedPrefix = "keyed."
+
+// newestKeys bounds the entries in one answer.
+const newestKeys = 500
+
+// keyedEntry is the newest entry of a key.
+type keyedEntry struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset uint64 `json:"offset"`
+}
+
+type newestPage struct {
+	Items []keyedEntry `json:"items"`
+	More  bool         `json:"has_more"`
+	End   uint64       `json:"end_offset"`
+}
+
+// noteKeyed keeps an entry of a keyed topic: the length of the key in one byte, the key, and the value. An entry
+// without a value drops the key.
+func (s *logStream) noteKeyed(data []byte, offset uint64) {
+	if len(data) == 0 || len(data) < 1+int(data[0]) {
+		return
+	}
+	key, value := string(data[1:1+data[0]]), data[1+data[0]:]
+	at, found := slices.BinarySearchFunc(s.newest, key, func(e keyedEntry, k string) int { return strings.Compare(e.Key, k) })
+	switch e := (keyedEntry{Key: key, Value: value, Offset: offset}); {
+	case len(value) == 0 && found:
+		s.newest = slices.Delete(s.newest, at, at+1)
+	case len(value) == 0:
+	case found:
+		s.newest[at] = e
+	default:
+		s.newest = slices.Insert(s.newest, at, e)
+	}
+}
+
+func (l *Log) serveNewest(w http.ResponseWriter, r *http.Request) {
+	if !l.pass(w, r) {
+		return
+	}
+	after := r.FormValue("after")
+	l.mu.Lock()
+	s, err := l.stream(r.FormValue("topic"))
+	if err != nil {
+		l.mu.Unlock()
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	page := newestPage{Items: []keyedEntry{}, End: s.next()}
+	for _, e := range s.newest {
+		if e.Key <= after && after != "" {
+			continue
+		}
+		if len(page.Items) == newestKeys {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, e)
+	}
+	l.mu.Unlock()
+	answer(w, http.StatusOK, page)
+}
