--- a/admission/gate.go
+++ b/admission/gate.go
@@ -49,6 +49,13 @@
 	return g.machine.Slots()
 }
 
+// Average returns how long a call runs on the average, or zero before the first one has ended.
+func (g *Gate) Average() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.average
+}
+
 // Load returns the numbers of running and of queued calls.
 func (g *Gate) Load() (running, queued int) {
 	g.mu.Lock()
--- a/codec/compress.go
+++ b/codec/compress.go
@@ -33,3 +33,10 @@
 }
 
 func compress(data []byte) []byte { return encoder().EncodeAll(data, nil) }
+
+// Compress returns data in compressed form.
+func Compress(data []byte) []byte { return compress(data) }
+
+// Decompress returns what Compress was given. The error says that data is malformed, or larger than
+// MaxCheckpoint when unpacked.
+func Decompress(data []byte) ([]byte, error) { return checkpointDecoder().DecodeAll(data, nil) }
--- /dev/null
+++ b/feed/settings.go
@@ -0,0 +1,86 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/routing"
+)
+
+// Settings of a Machine. Zero durations and counts stand for the defaults.
+type Settings struct {
+	// Self is the node itself.
+	Self member.Member
+	// Decode reads a document. A document that it refuses changes nothing.
+	Decode func(data []byte) (*routing.Table, error)
+	// Readers is the number of nodes near the store that read it.
+	Readers int
+	// ReadWait is how long the store may hold a read open.
+	ReadWait time.Duration
+	// ReadPause is the least time between two reads that brought a document, so that quick successions
+	// are read at once.
+	ReadPause time.Duration
+	// Silence is how long a node goes without news of a successful read before it reads by itself.
+	Silence time.Duration
+	// StartWait is how long a node that holds nothing waits for other nodes before it reads.
+	StartWait time.Duration
+	// WantGrace is how long a node that heard of a newer version waits for it to come down the tree.
+	WantGrace time.Duration
+	// WantRetry is the time between two requests for a newer version.
+	WantRetry time.Duration
+}
+
+// Defaults of Settings. A change has to be in force within 2.5 s also if its readers die with it: silence, the
+// wait of the next node's rank and one read stay below.
+const (
+	DefaultReaders   = 2
+	DefaultReadWait  = 700 * time.Millisecond
+	DefaultReadPause = 250 * time.Millisecond
+	DefaultSilence   = 1100 * time.Millisecond
+	DefaultStartWait = 400 * time.Millisecond
+	DefaultWantGrace = 150 * time.Millisecond
+	DefaultWantRetry = 400 * time.Millisecond
+)
+
+const (
+	// silenceStep is added to Silence for each better placed node of the region, so that few read at once.
+	silenceStep = 100 * time.Millisecond
+	// maxSilenceSteps bounds that.
+	maxSilenceSteps = 5
+	// nearStore is the time of a read that tells that the store stands in the node's region. Between two
+	// regions one way takes 20 ms.
+	nearStore = 30 * time.Millisecond
+	// firstRetry is the pause after a failed read, doubled by each further one up to maxRetry.
+	firstRetry = 200 * time.Millisecond
+	maxRetry   = time.Second
+	// fanout is the number of nodes to which one node passes news on.
+	fanout = 8
+	// roots is the number of members of another failure domain that a reader tells.
+	roots = 2
+	// documentsPerSecond bounds the documents sent in answer to requests.
+	documentsPerSecond = 32
+	// maxOrigins bounds the readers whose rounds are remembered.
+	maxOrigins = 64
+)
+
+func (s Settings) withDefaults() Settings {
+	for _, d := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&s.ReadWait, DefaultReadWait},
+		{&s.ReadPause, DefaultReadPause},
+		{&s.Silence, DefaultSilence},
+		{&s.StartWait, DefaultStartWait},
+		{&s.WantGrace, DefaultWantGrace},
+		{&s.WantRetry, DefaultWantRetry},
+	} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	if s.Readers == 0 {
+		s.Readers = DefaultReaders
+	}
+	return s
+}
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -187,7 +187,7 @@
 	m.probe.period = m.periodOf(now)
 	m.sync.agreed = now
 	m.cross.awake = now
-	m.rendezvous.at = now.Add(m.jitter(rendezvousStart))
+	m.rendezvous.at = now.Add(m.jitter(m.settings.RendezvousStart))
 	m.cross.next = now.Add(m.jitter(m.settings.GatewayPeriod))
 }
 
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -14,16 +14,6 @@
 
 // Pace of the rendezvous stream.
 const (
-	// rendezvousStart bounds the random delay before a node's first read.
-	rendezvousStart = time.Second
-	// rendezvousSpread bounds the random delay before a node that knows nobody appends.
-	rendezvousSpread = 8 * time.Second
-	// rendezvousRetry is the mean time between two reads of a node that knows nobody.
-	rendezvousRetry = 2 * time.Second
-	// rendezvousGrace is how long a node that knows nobody tries addresses written before its start.
-	rendezvousGrace = 5 * time.Second
-	// rendezvousBackoff bounds the time between two reads while the log fails.
-	rendezvousBackoff = 30 * time.Second
 	// rendezvousTail is the number of entries read from the end of the stream.
 	rendezvousTail = 16
 	// rendezvousPeers is the number of addresses in an entry.
@@ -124,7 +114,7 @@
 		return m.flush()
 	}
 	if page.Err() != nil {
-		m.rendezvous.delay = min(max(2*m.rendezvous.delay, rendezvousStart), rendezvousBackoff)
+		m.rendezvous.delay = min(max(2*m.rendezvous.delay, m.settings.RendezvousStart), m.settings.RendezvousBackoff)
 		m.rendezvous.at = now.Add(m.rendezvous.delay/2 + m.jitter(m.rendezvous.delay))
 		return m.flush()
 	}
@@ -200,7 +190,7 @@
 func (m *Machine) decideAppend() {
 	period := m.settings.RendezvousRead
 	if !m.sync.joined {
-		period = rendezvousRetry
+		period = m.settings.RendezvousRetry
 	}
 	m.rendezvous.at = m.now.Add(period/2 + m.jitter(period))
 	recent := m.now.Sub(m.rendezvous.appended) < m.settings.RendezvousAge
@@ -208,7 +198,7 @@
 	case m.fresh() || recent || m.rendezvous.pending:
 		m.rendezvous.addAt = time.Time{}
 	case m.rendezvous.addAt.IsZero():
-		m.rendezvous.addAt = m.now.Add(m.jitter(rendezvousSpread))
+		m.rendezvous.addAt = m.now.Add(m.jitter(m.settings.RendezvousSpread))
 	case !m.now.Before(m.rendezvous.addAt):
 		m.rendezvous.addAt = time.Time{}
 		m.appendSelf()
@@ -225,7 +215,7 @@
 	if m.now.Sub(m.rendezvous.grown) < m.settings.RendezvousAge {
 		return true
 	}
-	overdue := !m.sync.joined && m.now.Sub(m.started) >= rendezvousGrace
+	overdue := !m.sync.joined && m.now.Sub(m.started) >= m.settings.RendezvousGrace
 	return !overdue && m.now.Sub(m.rendezvous.newest) < m.settings.RendezvousAge
 }
 
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -44,6 +44,18 @@
 	// RendezvousAge is the age of the newest entry of the rendezvous stream from which on a gateway
 	// appends, and the least time between two appends of one node.
 	RendezvousAge time.Duration
+	// RendezvousStart bounds the random delay before a node's first read of the rendezvous stream.
+	RendezvousStart time.Duration
+	// RendezvousSpread bounds the random delay before a node that knows nobody appends.
+	RendezvousSpread time.Duration
+	// RendezvousRetry is the mean time between two reads of a node that knows nobody.
+	RendezvousRetry time.Duration
+	// RendezvousGrace is how long a node that knows nobody tries addresses written before its start.
+	RendezvousGrace time.Duration
+	// RendezvousBackoff bounds the time between two reads while the log fails.
+	RendezvousBackoff time.Duration
+	// JoinRetry is the least time between two attempts to join; up to as much is added at random.
+	JoinRetry time.Duration
 }
 
 // Defaults of Settings.
@@ -64,6 +76,13 @@
 	DefaultRegionExpiry   = time.Hour
 	DefaultRendezvousRead = 20 * time.Second
 	DefaultRendezvousAge  = time.Minute
+
+	DefaultRendezvousStart   = time.Second
+	DefaultRendezvousSpread  = 8 * time.Second
+	DefaultRendezvousRetry   = 2 * time.Second
+	DefaultRendezvousGrace   = 5 * time.Second
+	DefaultRendezvousBackoff = 30 * time.Second
+	DefaultJoinRetry         = 500 * time.Millisecond
 )
 
 func (s Settings) withDefaults() Settings {
@@ -79,6 +98,12 @@
 	setDuration(&s.RegionExpiry, DefaultRegionExpiry)
 	setDuration(&s.RendezvousRead, DefaultRendezvousRead)
 	setDuration(&s.RendezvousAge, DefaultRendezvousAge)
+	setDuration(&s.RendezvousStart, DefaultRendezvousStart)
+	setDuration(&s.RendezvousSpread, DefaultRendezvousSpread)
+	setDuration(&s.RendezvousRetry, DefaultRendezvousRetry)
+	setDuration(&s.RendezvousGrace, DefaultRendezvousGrace)
+	setDuration(&s.RendezvousBackoff, DefaultRendezvousBackoff)
+	setDuration(&s.JoinRetry, DefaultJoinRetry)
 	setCount(&s.IndirectProbes, DefaultIndirectProbes)
 	setCount(&s.GossipFanout, DefaultGossipFanout)
 	setCount(&s.SyncDatagrams, DefaultSyncDatagrams)
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -12,8 +12,6 @@
 const (
 	// syncGap is the least time between two comparisons that a node starts.
 	syncGap = 2 * time.Second
-	// joinRetry is the least time between two attempts to join; up to as much is added at random.
-	joinRetry = 500 * time.Millisecond
 	// referrals is the number of members named to a joining node that is not answered in full.
 	referrals = 8
 	// unsettledFactor times SyncSettle is how long differing views are left alone while claims come in.
@@ -40,7 +38,7 @@
 	if m.sync.joined || m.now.Before(m.sync.next) {
 		return
 	}
-	m.sync.next = m.now.Add(joinRetry + m.jitter(joinRetry))
+	m.sync.next = m.now.Add(m.settings.JoinRetry + m.jitter(m.settings.JoinRetry))
 	if to, ok := m.joinTarget(); ok {
 		m.requestSync(to, message.SyncJoin)
 	}
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -6,6 +6,8 @@
 	"net/netip"
 
 	"github.com/samber/oops"
+
+	"github.com/bambooknot/bambooknot/exchange"
 )
 
 // Dialer opens connections to other nodes of one fleet.
@@ -20,8 +22,14 @@
 }
 
 func dialTCP(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: helloTimeout}
-	return d.DialContext(ctx, "tcp", peer.String())
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	return exchange.Dial(ctx, peer)
+}
+
+// Calls opens a connection for forwarded calls to a peer.
+func (d *Dialer) Calls(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	return d.open(ctx, peer, purposeCalls)
 }
 
 // open dials a peer and has the hello accepted.
--- a/node/peeredge.go
+++ b/node/peeredge.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bambooknot/bambooknot/exchange"
 	"github.com/bambooknot/bambooknot/link"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
@@ -37,7 +38,7 @@
 	fail := func(err error) (peerSockets, error) {
 		return peerSockets{}, oops.In("node.listen").With("address", addr).Wrap(err)
 	}
-	tcp, err := net.Listen("tcp", addr.String())
+	tcp, err := exchange.Listen(addr)
 	if err != nil {
 		return fail(err)
 	}
--- /dev/null
+++ b/node/sidecar.go
@@ -0,0 +1,435 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bambooknot/bambooknot/balance"
+	"github.com/bambooknot/bambooknot/control"
+	"github.com/bambooknot/bambooknot/exchange"
+	"github.com/bambooknot/bambooknot/feed"
+	"github.com/bambooknot/bambooknot/fleet"
+	"github.com/bambooknot/bambooknot/link"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/metric"
+	"github.com/bambooknot/bambooknot/platform"
+	"github.com/bambooknot/bambooknot/presence"
+	"github.com/bambooknot/bambooknot/proxy"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/retry"
+	"github.com/bambooknot/bambooknot/routing"
+	"github.com/bambooknot/bambooknot/setting"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// sidecarFleet names the fleet in frames and in the rendezvous stream. The store belongs to one fleet.
+const sidecarFleet = "sidecars"
+
+// Sidecar is a running node that takes its routes from the platform's store, beside the backend server that
+// reports to it.
+type Sidecar struct {
+	path     string
+	started  time.Time
+	settings atomic.Pointer[setting.Sidecar]
+	clock    *timer.Service
+	log      zerolog.Logger
+	sink     *Sink
+	metrics  *metric.Registry
+	stages   *stages
+
+	snapshot atomic.Pointer[routing.Snapshot] // nil until the node holds routes
+	fleeted  atomic.Bool                      // the node knows the fleet, or is the first of it
+	queue    *queue
+	core     *control.Sidecar // owned by the loop
+	self     member.Key       // owned by the loop
+	loop     *loop
+
+	peers     *peerEdge
+	logs      *logEdge
+	documents *documentEdge
+	reports   *reportEdge
+	owner     *proxy.Owner
+	ingress   *proxy.Ingress
+	inner     *exchange.Server
+	callers   *exchange.Server
+	server    *httpEdge
+	ready     *httpEdge
+	observe   *httpEdge
+	gauges    *timer.Subscription
+	close     sync.Once
+}
+
+// NewSidecar starts a node. path is the file that s was read from, for Reload. On an error nothing runs.
+func NewSidecar(path string, s setting.Sidecar, clock *timer.Service, sink *Sink, log zerolog.Logger) (*Sidecar, error) {
+	sockets, err := listenSidecar(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Sidecar{path: path, started: clock.Now(), clock: clock, log: log, sink: sink}
+	n.settings.Store(&s)
+	n.metrics = metric.New(map[string]string{"region": string(s.Place().Region())})
+	n.stages = newStages(log, n.metrics.Scope())
+	n.queue = newQueue(n.metrics.Scope())
+	self := member.New(member.NewKey(s.Peer(), member.Incarnation(clock.Now().UnixMicro())), s.Place(), record.SchemaNewest)
+	n.self = self.Key()
+	n.startTraffic(self, s)
+	n.startControl(self, s, sockets)
+	n.startPorts(s, sockets)
+	n.log.Info().Str("kind", "started").Str("vm", s.Name()).Stringer("peer", s.Peer()).Str("service", s.Service()).
+		Str("region", string(s.Place().Region())).Str("failure_domain", string(s.Place().FailureDomain())).Bool("first_start", s.FirstStart()).Msg("node started")
+	return n, nil
+}
+
+// Connections to other nodes.
+const (
+	peerDialTimeout = 500 * time.Millisecond // a connection and its hello take two ways there and back, 80 ms between regions
+	peerIdleTimeout = 30 * time.Second
+	peerIdle        = 64
+	maxPeerAnswer   = 64 << 20 // bytes
+	// retryCaution is the share of the fleet's permitted retries that nodes spend: members die and windows slide.
+	retryCaution = 0.5
+	// coldTime is how long a server that turned ready gets less than its share.
+	coldTime = 3 * time.Second
+)
+
+func (n *Sidecar) startTraffic(self member.Member, s setting.Sidecar) {
+	scope := n.metrics.Scope()
+	dialer := link.NewDialer(sidecarFleet)
+	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: n.clock, Log: n.log, Scope: scope})
+	n.ingress = proxy.NewIngress(proxy.IngressSettings{
+		Self:     self.Key(),
+		Place:    s.Place(),
+		Snapshot: n.snapshot.Load,
+		Service:  func() string { return n.settings.Load().Service() },
+		Owner:    n.owner,
+		Dial:     exchange.PoolSettings{Dial: dialer.Calls, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, Idle: peerIdle, BodyBytes: maxPeerAnswer},
+		Retry: retry.WindowSettings{
+			Span: s.Retries().Window(), Share: s.Retries().Share() * retryCaution, Reserve: float64(s.Retries().Reserve()) * retryCaution,
+		},
+		Balance: balance.Settings{SlowStart: coldTime},
+		Timers:  n.clock,
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation()))),
+		Log:     n.log,
+		Scope:   scope,
+	})
+	n.inner = exchange.NewServer(nil, exchange.Settings{
+		Handle:        n.owner.ServeCall,
+		Limits:        func() exchange.Limits { return exchange.Limits{HeaderBytes: innerHeader, BodyBytes: maxPeerAnswer} },
+		HeaderTimeout: func() time.Duration { return innerTimeout },
+		IdleTimeout:   func() time.Duration { return 2 * peerIdleTimeout },
+		Timers:        n.clock,
+	})
+}
+
+// Limits of calls between nodes.
+const (
+	innerHeader  = 256 << 10
+	innerTimeout = 5 * time.Second
+)
+
+// Periods of the membership. They are shorter than the fleet's own, as callers wait for a second or two only.
+func sidecarFleetSettings() fleet.Settings {
+	return fleet.Settings{
+		Fleet:             sidecarFleet,
+		ProbePeriod:       500 * time.Millisecond,
+		AckTimeout:        150 * time.Millisecond,
+		SuspectTimeout:    1200 * time.Millisecond,
+		GossipPeriod:      100 * time.Millisecond,
+		GatewayPeriod:     500 * time.Millisecond,
+		RegionLost:        3 * time.Second,
+		SyncSettle:        time.Second,
+		JoinRetry:         200 * time.Millisecond,
+		RendezvousStart:   150 * time.Millisecond,
+		RendezvousSpread:  300 * time.Millisecond,
+		RendezvousRetry:   400 * time.Millisecond,
+		RendezvousGrace:   1500 * time.Millisecond,
+		RendezvousBackoff: time.Second,
+		RendezvousRead:    10 * time.Second,
+	}
+}
+
+func (n *Sidecar) startControl(self member.Member, s setting.Sidecar, sockets sidecarSockets) {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation())))
+	n.core = control.NewSidecar(control.SidecarSettings{
+		Self:    self,
+		Fleet:   sidecarFleetSettings(),
+		Feed:    feed.Settings{Self: self, Decode: platform.DecodeTable},
+		Trimmed: func(err error) bool { return platform.ClassOf(err) == platform.ClassTrimmed },
+	}, rnd)
+	client := &http.Client{Transport: &http.Transport{DialContext: dialHTTP, MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	store := platform.NewLog(s.Store(), client)
+	n.logs = newLogEdge(store, documentTimeout, documentTimeout, n.post)
+	n.documents = newDocumentEdge(store, n.log, n.post)
+	n.peers = newPeerEdge(sockets.peer, sidecarFleet, self.Key(), link.NewDialer(sidecarFleet), n.queue.offer, n.inner.ServeConn, n.metrics.Scope())
+	n.reports = newReportEdge(n.clock, s.Heartbeat(), s.FirstStart(), n.healthPath, n.serverChanged, n.log)
+	n.loop = newLoop(n.clock, n.queue, n.handle)
+}
+
+func (n *Sidecar) startPorts(s setting.Sidecar, sockets sidecarSockets) {
+	n.server = newHTTPEdge(sockets.server, n.reports)
+	n.ready = newHTTPEdge(sockets.ready, http.HandlerFunc(n.serveReady))
+	n.observe = newHTTPEdge(sockets.metrics, n.metrics.Handler())
+	n.callers = exchange.NewServer(sockets.callers, exchange.Settings{
+		Handle: n.ingress.Handle,
+		Limits: func() exchange.Limits {
+			l := n.limits()
+			return exchange.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes}
+		},
+		HeaderTimeout: func() time.Duration { return n.limits().HeaderTimeout },
+		IdleTimeout:   func() time.Duration { return n.limits().IdleTimeout },
+		Timers:        n.clock,
+	})
+	n.gauges = n.clock.Every(gaugePeriod, n.gauge)
+}
+
+// Limits of callers while no routes say otherwise, or leave one out.
+var defaultLimits = routing.Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+
+func (n *Sidecar) limits() routing.Limits {
+	l := defaultLimits
+	held := n.snapshot.Load()
+	if held == nil {
+		return l
+	}
+	stated := held.Table().Limits()
+	if stated.HeaderBytes > 0 {
+		l.HeaderBytes = stated.HeaderBytes
+	}
+	if stated.BodyBytes > 0 {
+		l.BodyBytes = stated.BodyBytes
+	}
+	if stated.HeaderTimeout > 0 {
+		l.HeaderTimeout = stated.HeaderTimeout
+	}
+	if stated.IdleTimeout > 0 {
+		l.IdleTimeout = stated.IdleTimeout
+	}
+	return l
+}
+
+func (n *Sidecar) post(e message.Event) { n.queue.post(e) }
+
+// handle takes one event on the control thread.
+func (n *Sidecar) handle(e message.Event) {
+	for _, a := range n.decide(e) {
+		n.execute(a)
+	}
+	if self := n.core.Self().Key(); self != n.self {
+		n.self = self
+		n.log.Info().Str("kind", "renamed").Uint64("incarnation", uint64(self.Incarnation())).Msg("address was used before, took a greater incarnation")
+		n.peers.rename(self)
+		n.ingress.Rename(self)
+	}
+	n.publish()
+}
+
+func (n *Sidecar) decide(e message.Event) []message.Action {
+	now := n.clock.Now()
+	switch e := e.(type) {
+	case message.Ticked:
+		return n.core.Tick(now)
+	case message.Envelope:
+		return n.core.Receive(now, e)
+	case message.LogPage:
+		return n.core.LogPage(now, e)
+	case message.LogAppended:
+		return n.core.LogAppended(now, e)
+	case message.DocumentPage:
+		return n.core.DocumentPage(now, e)
+	case message.ServerAnnounced:
+		return n.core.SetServer(now, e.Server())
+	case message.LeaveAsked:
+		return n.core.Leave(now)
+	case message.Asked:
+		e.Ask()
+	}
+	return nil
+}
+
+// execute carries out an action of the control thread. It does not block.
+func (n *Sidecar) execute(a message.Action) {
+	switch a := a.(type) {
+	case message.Send:
+		n.peers.send(a)
+	case message.ReadLog:
+		n.logs.read(a)
+	case message.AppendLog:
+		n.logs.append(a)
+	case message.ReadDocument:
+		n.documents.read(a)
+	}
+}
+
+// publish hands the newest snapshot to traffic.
+func (n *Sidecar) publish() {
+	held, s := n.snapshot.Load(), n.core.Snapshot()
+	if n.core.Joined() {
+		n.fleeted.Store(true)
+	}
+	if s == nil || s == held {
+		return
+	}
+	n.snapshot.Store(s)
+	if held == nil || held.Table() != s.Table() {
+		n.log.Info().Str("kind", "routes_changed").Uint64("version", uint64(s.Table().Version())).Uint64("before", versionOf(held)).
+			Dur("proof_age", n.clock.Now().Sub(n.core.Feed().Proven())).Msg("new routes are in force")
+	}
+	if held == nil || len(held.View().Members()) != len(s.View().Members()) {
+		n.log.Info().Str("kind", "members_changed").Int("members", len(s.View().Members())).Msg("members of the fleet changed")
+	}
+}
+
+func versionOf(s *routing.Snapshot) uint64 {
+	if s == nil {
+		return 0
+	}
+	return uint64(s.Table().Version())
+}
+
+// healthPath returns the path of health checks of a service, or the usual one if no routes name it.
+func (n *Sidecar) healthPath(service string) string {
+	if s := n.snapshot.Load(); s != nil {
+		if found, ok := s.Table().Service(service); ok && found.HealthPath() != "" {
+			return found.HealthPath()
+		}
+	}
+	return "/health"
+}
+
+func (n *Sidecar) serverChanged(h presence.Heartbeat) {
+	n.owner.SetBackend(proxy.NewBackend(h.ID, h.Address, h.Server))
+	server := h.Server
+	if n.stages.current() == message.StageDraining {
+		server = member.NewServer(server.Service(), member.ServerDraining, server.Slots())
+	}
+	n.queue.post(message.NewServerAnnounced(server))
+}
+
+// aloneTime is how long a node waits to meet others before it takes itself for the first of its fleet.
+const aloneTime = 3 * time.Second
+
+// serveReady answers whether callers may send their requests here: the node holds routes and knows the fleet.
+func (n *Sidecar) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadinessPath {
+		http.NotFound(w, r)
+		return
+	}
+	if !n.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Sidecar) isReady() bool {
+	if n.snapshot.Load() == nil || n.stages.current() == message.StageDraining {
+		return false
+	}
+	if n.fleeted.Load() || n.clock.Now().Sub(n.started) >= aloneTime {
+		n.stages.fire(eventJoined)
+		return true
+	}
+	return false
+}
+
+// gauge records what changes slowly.
+func (n *Sidecar) gauge(now time.Time) {
+	scope := n.metrics.Scope()
+	scope.Gauge("log_lines_dropped").Update(float64(n.sink.Dropped()))
+	scope.Gauge("callers_active").Update(float64(n.callers.Active()))
+	n.queue.ask(func() {
+		f := n.core.Feed()
+		scope.Gauge("routes_version").Update(float64(f.Version()))
+		scope.Gauge("routes_proof_age_seconds").Update(now.Sub(f.Proven()).Seconds())
+		scope.Gauge("store_reads").Update(float64(f.Counts().Reads))
+		scope.Gauge("store_read_failures").Update(float64(f.Counts().Failures))
+		scope.Gauge("routes_wanted").Update(float64(f.Counts().Wants))
+		scope.Gauge("fleet_members").Update(float64(len(n.core.Members())))
+	})
+}
+
+// Reload reads the settings file again. Addresses stay as they were at the start.
+func (n *Sidecar) Reload() {
+	s, err := setting.LoadSidecar(n.path)
+	if err != nil {
+		n.log.Error().Str("kind", "reload_failed").Err(err).Msg("settings have faults, the old ones stay in force")
+		return
+	}
+	if held := n.settings.Load(); *held == s {
+		return
+	}
+	n.settings.Store(&s)
+	n.log.Info().Str("kind", "reloaded").Str("service", s.Service()).Msg("settings reloaded")
+}
+
+// Times of a planned end, from SIGTERM on.
+const (
+	// noticeTime is how long callers and other nodes have to notice: two readiness checks a second apart.
+	noticeTime = 2300 * time.Millisecond
+	// quietTime is how long nothing may be in flight before the node ends.
+	quietTime = 300 * time.Millisecond
+	// killSlack is kept before the time at which the process is killed.
+	killSlack = 600 * time.Millisecond
+	// drainPoll is the time between two looks for requests in flight.
+	drainPoll = 50 * time.Millisecond
+)
+
+// Shutdown tells callers and other nodes, serves on until they have noticed and all requests are answered, and
+// closes. It takes less than the grace of the settings. It tells whether requests were cut off.
+func (n *Sidecar) Shutdown() (cut int) {
+	begun := n.clock.Now()
+	n.stages.fire(eventDrain)
+	n.log.Info().Str("kind", "stopping").Int("active", n.callers.Active()).Msg("node stops")
+	if b, ok := n.owner.Backend(); ok {
+		server := b.Server()
+		n.queue.post(message.NewServerAnnounced(member.NewServer(server.Service(), member.ServerDraining, server.Slots())))
+	}
+	n.pause(noticeTime)
+	n.callers.Drain()
+	n.inner.Drain()
+	last := begun.Add(n.settings.Load().Grace() - killSlack)
+	quiet := n.clock.Now()
+	for now := quiet; now.Before(last) && now.Sub(quiet) < quietTime; now = n.clock.Now() {
+		if n.callers.Active() > 0 || n.inner.Active() > 0 {
+			quiet = now
+		}
+		n.pause(drainPoll)
+	}
+	cut = n.callers.Active()
+	n.queue.post(message.LeaveAsked{})
+	n.pause(leaveTime / 3)
+	n.log.Info().Str("kind", "stopped").Int("cut", cut).Dur("took", n.clock.Now().Sub(begun)).Msg("node stopped")
+	n.Close()
+	return cut
+}
+
+func (n *Sidecar) pause(d time.Duration) {
+	over := make(chan struct{})
+	sub := n.clock.After(d, func(time.Time) { close(over) })
+	<-over
+	sub.Close()
+}
+
+// Close ends the node at once and waits for its goroutines.
+func (n *Sidecar) Close() {
+	n.close.Do(func() {
+		n.gauges.Close()
+		n.callers.Close()
+		n.server.Close()
+		n.ready.Close()
+		n.observe.Close()
+		n.reports.Close()
+		n.loop.Close()
+		n.logs.Close()
+		n.documents.Close()
+		n.peers.Close()
+		n.inner.Close()
+		n.ingress.Close()
+		n.owner.Close()
+		_ = n.metrics.Close()
+	})
+}
--- /dev/null
+++ b/node/sidecarsockets.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/netip"
+
+	"github.com/bambooknot/bambooknot/exchange"
+	"github.com/bambooknot/bambooknot/setting"
+)
+
+// sidecarSockets are all bound addresses of a sidecar.
+type sidecarSockets struct {
+	peer    peerSockets
+	callers net.Listener
+	server  net.Listener
+	ready   net.Listener
+	metrics net.Listener
+}
+
+// listenSidecar binds every address of the node, or none.
+func listenSidecar(s setting.Sidecar) (sidecarSockets, error) {
+	var all sidecarSockets
+	var err error
+	if all.peer, err = listenPeer(s.Peer()); err != nil {
+		return sidecarSockets{}, err
+	}
+	bound := []io.Closer{all.peer.tcp, all.peer.udp}
+	for _, port := range []struct {
+		addr netip.AddrPort
+		into *net.Listener
+	}{
+		{s.Callers(), &all.callers},
+		{s.Server(), &all.server},
+		{s.Ready(), &all.ready},
+		{s.Metrics(), &all.metrics},
+	} {
+		if *port.into, err = exchange.Listen(port.addr); err != nil {
+			closeAll(bound)
+			return sidecarSockets{}, err
+		}
+		bound = append(bound, *port.into)
+	}
+	return all, nil
+}
--- a/node/thread.go
+++ b/node/thread.go
@@ -11,19 +11,49 @@
 	"github.com/bambooknot/bambooknot/timer"
 )
 
-// thread is the control thread: the one goroutine that owns the control core. It takes events in the
-// order of their arrival, has the actions executed by the edges, and publishes snapshots to traffic.
+// loop is the control thread: the one goroutine that owns the control state. It takes events in the order of
+// their arrival.
+type loop struct {
+	queue *queue
+	ticks *timer.Subscription
+	wg    sync.WaitGroup
+}
+
+// newLoop starts a control thread that has events handled. handle is called on that thread only.
+func newLoop(clock *timer.Service, q *queue, handle func(message.Event)) *loop {
+	l := &loop{queue: q}
+	l.ticks = clock.Every(control.TickPeriod, func(time.Time) { q.offer(message.Ticked{}) })
+	l.wg.Go(func() {
+		for {
+			select {
+			case e := <-q.events:
+				handle(e)
+			case <-q.done:
+				return
+			}
+		}
+	})
+	return l
+}
+
+// Close ends the thread and waits for it.
+func (l *loop) Close() {
+	l.ticks.Close()
+	close(l.queue.done)
+	l.wg.Wait()
+}
+
+// thread drives the control core of a node, has its actions executed by the edges, and publishes snapshots to
+// traffic.
 type thread struct {
+	*loop
 	core     *control.Core
 	clock    *timer.Service
 	execute  func(message.Action)
 	joined   func()
 	renamed  func(self member.Key)
 	self     member.Key
-	queue    *queue
 	snapshot *atomic.Pointer[message.Snapshot]
-	ticks    *timer.Subscription
-	wg       sync.WaitGroup
 }
 
 // newThread starts a control thread over core. It sets snapshot from the time on when the node may
@@ -37,19 +67,8 @@
 		joined:   joined,
 		renamed:  renamed,
 		self:     core.Self().Key(),
-		queue:    q,
 	}
-	t.ticks = clock.Every(control.TickPeriod, func(time.Time) { q.offer(message.Ticked{}) })
-	t.wg.Go(func() {
-		for {
-			select {
-			case e := <-q.events:
-				t.handle(e)
-			case <-q.done:
-				return
-			}
-		}
-	})
+	t.loop = newLoop(clock, q, t.handle)
 	return t
 }
 
@@ -104,10 +123,3 @@
 	}
 	return nil
 }
-
-// Close ends the thread and waits for it.
-func (t *thread) Close() {
-	t.ticks.Close()
-	close(t.queue.done)
-	t.wg.Wait()
-}
--- /dev/null
+++ b/proxy/queueing.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/bambooknot/bambooknot/admission"
+)
+
+// Bounds of the queue beside a server. Requests leave it when they would start too late; these only bound memory.
+const (
+	maxQueue     = 512
+	maxQueueWait = 5 * time.Second
+)
+
+// maxUrgency is the least urgent rank that is told apart.
+const maxUrgency = 15
+
+// urgencyOf maps the rank of a route, 0 being the most urgent, to a priority in the queue.
+func urgencyOf(c Call) admission.Priority {
+	return admission.Priority(maxUrgency - min(max(c.urgency, 0), maxUrgency))
+}
+
+// latestStart returns the time by which a request must begin to run. It answers load beyond what the server
+// can run: who cannot be answered within its target is refused while the caller can still go elsewhere or come back,
+// and the slots go to those who can. Whose target has passed already may wait as long as it can still be
+// answered at all.
+func latestStart(now time.Time, c Call, expected time.Duration) time.Time {
+	if room := c.target - expected; room > 0 {
+		return now.Add(min(room, c.left))
+	}
+	return now.Add(max(c.left-expected, minStart))
+}
+
+// minStart is the least time in which a request may start, so that a free slot is always used.
+const minStart = time.Millisecond
+
+// Bounds of the time after which a refused caller is asked to come back.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Second
+)
+
+// expectedRoom returns after what time a request that was refused may find a slot: when the queue ahead of it
+// has run.
+func expectedRoom(queued, slots int, expected time.Duration) time.Duration {
+	wait := expected * time.Duration(queued+1) / time.Duration(max(slots, 1))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,64 @@
+package retry
+
+import "time"
+
+// windowSlices is the number of parts into which a window is divided.
+const windowSlices = 10
+
+// WindowSettings of a Window.
+type WindowSettings struct {
+	// Span is the length of the window.
+	Span time.Duration
+	// Share is the number of retries permitted per first attempt of the window.
+	Share float64
+	// Reserve is the number of retries permitted besides, by all nodes together.
+	Reserve float64
+}
+
+// Window is a node's part of a limit on retries that all nodes keep together within any span of a length, without
+// asking each other: each counts its own first attempts and takes an equal part of the reserve. It is not safe
+// for concurrent use.
+type Window struct {
+	settings WindowSettings
+	first    [windowSlices]int
+	spent    [windowSlices]int
+	slice    int64
+}
+
+// NewWindow returns a window in which nothing has happened.
+func NewWindow(settings WindowSettings) *Window { return &Window{settings: settings} }
+
+// First records a first attempt.
+func (w *Window) First(now time.Time) {
+	w.advance(now)
+	w.first[w.slice%windowSlices]++
+}
+
+// Take spends one retry and tells whether it was permitted, on one of that many nodes.
+func (w *Window) Take(now time.Time, nodes int) bool {
+	w.advance(now)
+	first, spent := 0, 0
+	for i := range windowSlices {
+		first += w.first[i]
+		spent += w.spent[i]
+	}
+	if float64(spent+1) > w.settings.Share*float64(first)+w.settings.Reserve/float64(max(nodes, 1)) {
+		return false
+	}
+	w.spent[w.slice%windowSlices]++
+	return true
+}
+
+// advance forgets what lies before the window.
+func (w *Window) advance(now time.Time) {
+	slice := now.UnixNano() / int64(w.settings.Span/windowSlices)
+	gap := slice - w.slice
+	if gap <= 0 {
+		return
+	}
+	for i := range min(gap, windowSlices) {
+		at := (slice - i) % windowSlices
+		w.first[at], w.spent[at] = 0, 0
+	}
+	w.slice = slice
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -74,6 +74,7 @@
 var registry = newCodecs(
 	membershipCodecs(),
 	distributionCodecs(),
+	documentCodecs(),
 )
 
 type codecs struct {
