proxy, node: refuse what can't end before a planned stop

Requests taken up to the end were cut, as were those that arrived between the last look for requests in flight and the exit.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -388,17 +388,16 @@
 		server := b.Server()
 		n.queue.post(message.NewServerAnnounced(member.NewServer(server.Service(), member.ServerDraining, server.Slots())))
 	}
+	last := begun.Add(n.settings.Load().Grace() - killSlack)
+	n.ingress.Stop(last)
+	n.owner.Stop(last)
 	n.pause(noticeTime)
 	n.callers.Drain()
 	n.inner.Drain()
-	last := begun.Add(n.settings.Load().Grace() - killSlack)
-	quiet := n.clock.Now()
-	for now := quiet; now.Before(last) && now.Sub(quiet) < quietTime; now = n.clock.Now() {
-		if n.callers.Active() > 0 || n.inner.Active() > 0 {
-			quiet = now
-		}
-		n.pause(drainPoll)
-	}
+	n.awaitQuiet(last, quietTime)
+	n.ingress.Seal()
+	n.owner.Seal()
+	n.awaitQuiet(last, 0) // a request may have arrived just before
 	cut = n.callers.Active()
 	n.queue.post(message.LeaveAsked{})
 	n.pause(leaveTime / 3)
@@ -407,6 +406,19 @@
 	return cut
 }
 
+// awaitQuiet waits until nothing has been in flight for a time, but not beyond last.
+func (n *Sidecar) awaitQuiet(last time.Time, quiet time.Duration) {
+	since := n.clock.Now()
+	for now := since; now.Before(last); now = n.clock.Now() {
+		if n.callers.Active() > 0 || n.inner.Active() > 0 {
+			since = now
+		} else if now.Sub(since) >= quiet {
+			return
+		}
+		n.pause(drainPoll)
+	}
+}
+
 func (n *Sidecar) pause(d time.Duration) {
 	over := make(chan struct{})
 	sub := n.clock.After(d, func(time.Time) { close(over) })
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,6 +43,7 @@
 	settings IngressSettings
 	pool     *exchange.Pool
 	latency  tally.Histogram
+	stopping atomic.Pointer[stop] // nil until a planned end begins
 
 	mu       sync.Mutex
 	servers  *balance.Machine
@@ -71,6 +73,14 @@
 	in.settings.Self = self
 }
 
+// Stop begins a planned end: the process ends at ends at the latest.
+func (in *Ingress) Stop(ends time.Time) {
+	in.stopping.Store(&stop{begun: in.settings.Timers.Now(), ends: ends})
+}
+
+// Seal refuses every further request, as the process is about to end.
+func (in *Ingress) Seal() { in.stopping.Store(&stop{ends: in.settings.Timers.Now()}) }
+
 // Handle answers one request of a caller.
 func (in *Ingress) Handle(ctx context.Context, r *exchange.Request) *exchange.Response {
 	ask := platform.TakeAsk(r.Header())
@@ -99,6 +109,11 @@
 	if timeout, stated := ask.Timeout(); stated {
 		q.limit = min(q.limit, timeout)
 	}
+	if s, now := in.stopping.Load(), in.settings.Timers.Now(); s != nil && !s.admits(now, q.limit) {
+		result := notRun(ReasonStopping)
+		result.retryAfter = s.back(now)
+		return in.giveUp(q, result), q
+	}
 	in.mu.Lock()
 	q.service = route.Choose(in.rnd.Float64())
 	in.budget(q.service).First(in.settings.Timers.Now())
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -61,6 +61,7 @@
 	gate     *admission.Gate
 	pool     *exchange.Pool
 	backend  atomic.Pointer[Backend]
+	stopping atomic.Pointer[stop] // nil until a planned end begins
 	results  tally.Scope
 	running  tally.Histogram
 }
@@ -100,6 +101,14 @@
 	return *b, true
 }
 
+// Stop begins a planned end: the process ends at ends at the latest.
+func (o *Owner) Stop(ends time.Time) {
+	o.stopping.Store(&stop{begun: o.settings.Timers.Now(), ends: ends})
+}
+
+// Seal refuses every further request, as the process is about to end.
+func (o *Owner) Seal() { o.stopping.Store(&stop{ends: o.settings.Timers.Now()}) }
+
 // ready returns the server if it takes new work.
 func (o *Owner) ready() (Backend, Reason, bool) {
 	b, ok := o.Backend()
@@ -142,6 +151,9 @@
 	if _, reason, ok := o.ready(); !ok {
 		return notRun(reason)
 	}
+	if s := o.stopping.Load(); s != nil && !s.admits(start, c.left) {
+		return notRun(ReasonDraining)
+	}
 	deadline := start.Add(c.left)
 	expected := o.gate.Average()
 	if err := o.gate.Enter(ctx, urgencyOf(c), latestStart(start, c, expected)); err != nil {
--- a/proxy/result.go
+++ b/proxy/result.go
@@ -49,6 +49,7 @@
 	ReasonOtherServer Reason = "other_server" // another server has the address
 	ReasonLeft        Reason = "caller_left"
 	ReasonLate        Reason = "deadline"
+	ReasonStopping    Reason = "stopping" // the caller's node is about to end
 )
 
 // Reasons why it is not known what became of a request.
