--- a/exchange/clientconn.go
+++ b/exchange/clientconn.go
@@ -83,7 +83,11 @@
 	c.asked = asked
 	c.mu.Unlock()
 	written := make(chan writeResult, 1)
-	c.pool.wg.Go(func() { written <- c.write(r) })
+	if len(r.body) <= inlineBody {
+		written <- c.write(r)
+	} else {
+		c.pool.wg.Go(func() { written <- c.write(r) })
+	}
 	select {
 	case answer := <-asked.answer:
 		return c.answered(answer, written)
@@ -95,26 +99,45 @@
 	}
 }
 
+// inlineBody bounds the bodies, in bytes, that are sent before the answer is waited for: the buffers of a
+// connection take them at once.
+const inlineBody = 2 << 10
+
+// earlyGrace is how long the rest of a request may take to be sent after its answer.
+const earlyGrace = 100 * time.Millisecond
+
 // answered returns the answer. If the request was not sent whole by then, what is left of it would be taken
-// for the next one, so the connection is not used again.
+// for the next one, so the connection is kept only once the rest is sent.
 func (c *clientConn) answered(answer *Response, written chan writeResult) (*Response, bool, error) {
 	select {
 	case w := <-written:
-		if w.err != nil {
-			c.retire()
-		}
+		c.settle(w)
+		return answer, true, nil
 	default:
-		c.retire()
-		<-written
 	}
+	late := c.pool.settings.Timers.After(earlyGrace, func(time.Time) { c.retire() })
+	c.pool.wg.Go(func() {
+		defer late.Close()
+		c.settle(<-written)
+	})
 	return answer, true, nil
 }
 
+// settle returns the connection to the pool after an answer, unless its request could not be sent.
+func (c *clientConn) settle(w writeResult) {
+	if w.err != nil {
+		c.retire()
+		return
+	}
+	c.pool.put(c)
+}
+
 // broken returns an answer that arrived just before the connection ended, or the reason of the end.
 func (c *clientConn) broken(asked *exchangeUnderWay, written chan writeResult) (*Response, bool, error) {
 	w := <-written
 	select {
 	case answer := <-asked.answer:
+		c.retire()
 		return answer, true, nil
 	default:
 	}
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,401 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/exchange"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// idHeader names a request and its answer in these tests.
+const idHeader = "Id"
+
+func settings(handle func(context.Context, *exchange.Request) *exchange.Response) exchange.Settings {
+	return exchange.Settings{
+		Handle:        handle,
+		Limits:        func() exchange.Limits { return exchange.Limits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10} },
+		HeaderTimeout: func() time.Duration { return 5 * time.Second },
+		IdleTimeout:   func() time.Duration { return 5 * time.Second },
+		Timers:        timer.New(),
+	}
+}
+
+// listen starts a server and returns its address.
+func listen(t *testing.T, s exchange.Settings) (*exchange.Server, netip.AddrPort) {
+	l, err := exchange.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	server := exchange.NewServer(l, s)
+	t.Cleanup(server.Close)
+	return server, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func dial(t *testing.T, to netip.AddrPort) net.Conn {
+	conn, err := exchange.Dial(t.Context(), to)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func echo(_ context.Context, r *exchange.Request) *exchange.Response {
+	return exchange.NewResponse(http.StatusOK, nil, []byte(r.Method()+" "+r.Target()+" "+string(r.Body())))
+}
+
+func readBody(t *testing.T, br *bufio.Reader) (status int, body string, last bool) {
+	resp, err := http.ReadResponse(br, nil)
+	qt.Assert(t, err, qt.IsNil)
+	data, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return resp.StatusCode, string(data), resp.Close
+}
+
+func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
+	first := make(chan struct{})
+	_, addr := listen(t, settings(func(ctx context.Context, r *exchange.Request) *exchange.Response {
+		if r.Target() == "/1" {
+			<-first
+		} else {
+			close(first) // the second one is handled while the first one waits
+		}
+		return echo(ctx, r)
+	}))
+	conn := dial(t, addr)
+	_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	br := bufio.NewReader(conn)
+	for _, want := range []string{"GET /1 ", "GET /2 "} {
+		_, body, _ := readBody(t, br)
+		qt.Assert(t, body, qt.Equals, want)
+	}
+}
+
+// TestPipelinedEffectsWait: a request that may have effects is not handled before the answers that may close its
+// connection.
+func TestPipelinedEffectsWait(t *testing.T) {
+	var running atomic.Int32
+	_, addr := listen(t, settings(func(ctx context.Context, r *exchange.Request) *exchange.Response {
+		qt.Check(t, running.Add(1), qt.Equals, int32(1))
+		defer running.Add(-1)
+		return echo(ctx, r)
+	}))
+	conn := dial(t, addr)
+	request := "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
+	_, err := io.WriteString(conn, strings.Repeat(request, 8))
+	qt.Assert(t, err, qt.IsNil)
+	br := bufio.NewReader(conn)
+	for range 8 {
+		_, body, _ := readBody(t, br)
+		qt.Assert(t, body, qt.Equals, "POST /x a")
+	}
+}
+
+// TestCallerThatLeavesIsNoticed has a caller leave while a pipelined request waits, which http.Server would not
+// notice.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	started, left := make(chan struct{}, 2), make(chan struct{}, 2)
+	_, addr := listen(t, settings(func(ctx context.Context, _ *exchange.Request) *exchange.Response {
+		started <- struct{}{}
+		<-ctx.Done()
+		left <- struct{}{}
+		return exchange.NewDrop()
+	}))
+	conn := dial(t, addr)
+	_, err := io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2))
+	qt.Assert(t, err, qt.IsNil)
+	<-started
+	<-started
+	_ = conn.Close()
+	<-left
+	<-left
+}
+
+func TestBadRequestsAreRefused(t *testing.T) {
+	_, addr := listen(t, settings(echo))
+	for request, status := range map[string]int{
+		"nonsense\r\n\r\n":       400,
+		"GET / HTTP/1.1\r\n\r\n": 400,
+		"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1,2\r\n\r\n":                    400,
+		"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 16<<10) + "\r\n\r\n": 431,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\n":                 413,
+	} {
+		conn := dial(t, addr)
+		_, err := io.WriteString(conn, request)
+		qt.Assert(t, err, qt.IsNil)
+		got, _, last := readBody(t, bufio.NewReader(conn))
+		qt.Check(t, got, qt.Equals, status, qt.Commentf("%.60q", request))
+		qt.Check(t, last, qt.IsTrue)
+	}
+}
+
+func TestChunkedBodyIsReadWhole(t *testing.T) {
+	_, addr := listen(t, settings(echo))
+	conn := dial(t, addr)
+	_, err := io.WriteString(conn, "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	_, body, _ := readBody(t, bufio.NewReader(conn))
+	qt.Assert(t, body, qt.Equals, "PUT /c abc")
+}
+
+// TestDrainClosesAfterTheAnswer: a draining server answers what it has read and then closes.
+func TestDrainClosesAfterTheAnswer(t *testing.T) {
+	handled, release := make(chan struct{}), make(chan struct{})
+	server, addr := listen(t, settings(func(ctx context.Context, r *exchange.Request) *exchange.Response {
+		close(handled)
+		<-release
+		return echo(ctx, r)
+	}))
+	conn := dial(t, addr)
+	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-handled
+	server.Drain()
+	qt.Assert(t, server.Active(), qt.Equals, 1)
+	close(release)
+	br := bufio.NewReader(conn)
+	_, body, last := readBody(t, br)
+	qt.Assert(t, body, qt.Equals, "GET /a ")
+	qt.Assert(t, last, qt.IsTrue)
+	_, err = br.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
+// peer is a scripted HTTP server: each connection is served by serve.
+func peer(t *testing.T, serve func(conn net.Conn, br *bufio.Reader)) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newPool(t *testing.T) (p *exchange.Pool, dialled *atomic.Int32) {
+	dialled = new(atomic.Int32)
+	p = exchange.NewPool(exchange.PoolSettings{
+		Dial: exchange.Dial, DialTimeout: 5 * time.Second, IdleTimeout: time.Minute, Idle: 8, BodyBytes: 64 << 10,
+		Timers: timer.New(), Dialled: func() { dialled.Add(1) },
+	})
+	t.Cleanup(p.Close)
+	return p, dialled
+}
+
+// ask sends a request with an ID and takes only the answer with that ID.
+func ask(ctx context.Context, p *exchange.Pool, to netip.AddrPort, id string, body []byte) (*exchange.Response, error) {
+	r := exchange.NewRequest(http.MethodPost, "/", "h", http.Header{idHeader: {id}}, body)
+	return p.Do(ctx, to, r, func(h http.Header) bool { return h.Get(idHeader) == id })
+}
+
+func reply(conn net.Conn, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func readRequest(br *bufio.Reader) (id string, ok bool) {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return "", false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req.Header.Get(idHeader), err == nil
+}
+
+// TestRepeatedAnswerIsPassedOver: a server repeats an earlier answer where the next one is due. The connection serves
+// on, and each request gets its own answer.
+func TestRepeatedAnswerIsPassedOver(t *testing.T) {
+	addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+		before := ""
+		for {
+			id, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			if before != "" {
+				reply(conn, before, "again "+before)
+			}
+			reply(conn, id, "answer "+id)
+			before = id
+		}
+	})
+	p, dialled := newPool(t)
+	for i := range 4 {
+		id := fmt.Sprint(i)
+		answer, err := ask(t.Context(), p, addr, id, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body()), qt.Equals, "answer "+id)
+	}
+	qt.Assert(t, dialled.Load(), qt.Equals, int32(1))
+}
+
+// TestBytesBetweenRequestsRetireTheConnection: what arrives while nothing is asked belongs to nothing.
+func TestBytesBetweenRequestsRetireTheConnection(t *testing.T) {
+	addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+		id, ok := readRequest(br)
+		if ok {
+			reply(conn, id, "whole")
+			_, _ = io.WriteString(conn, "more bytes")
+		}
+		_, _ = br.ReadByte()
+	})
+	p, _ := newPool(t)
+	for i := range 8 {
+		answer, err := ask(t.Context(), p, addr, fmt.Sprint(i), nil)
+		if err != nil {
+			qt.Assert(t, err, qt.ErrorIs, exchange.ErrBroken)
+			continue
+		}
+		qt.Assert(t, string(answer.Body()), qt.Equals, "whole")
+	}
+}
+
+func TestIncompleteAnswersAreFailures(t *testing.T) {
+	for name, answer := range map[string]string{
+		"short body":    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nshort",
+		"short chunk":   "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort",
+		"no last chunk": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n",
+		"half a head":   "HTTP/1.1 200 OK\r\nId: 1\r\n",
+		"not HTTP":      "hello\r\n\r\n",
+		"nothing":       "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+				_, _ = readRequest(br)
+				_, _ = io.WriteString(conn, answer)
+			})
+			p, _ := newPool(t)
+			_, err := ask(t.Context(), p, addr, "1", nil)
+			qt.Assert(t, err, qt.ErrorIs, exchange.ErrBroken)
+			qt.Assert(t, exchange.NotSent(err), qt.IsFalse)
+		})
+	}
+}
+
+// TestUnframedAnswerEndsWithItsConnection takes an answer without a length as whole if the connection is closed, not
+// if it is reset.
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+			_, _ = readRequest(br)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody")
+			if reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		p, _ := newPool(t)
+		answer, err := ask(t.Context(), p, addr, "1", nil)
+		if reset {
+			qt.Assert(t, err, qt.ErrorIs, exchange.ErrBroken)
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body()), qt.Equals, "body")
+	}
+}
+
+// TestEarlyAnswerRetiresTheConnection: the server answers before it has read a long body, and would take the next
+// request for the rest of it.
+func TestEarlyAnswerRetiresTheConnection(t *testing.T) {
+	addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		reply(conn, req.Header.Get(idHeader), "early")
+		_, _ = br.Peek(1) // holds the rest back for as long as the connection stands
+		<-t.Context().Done()
+	})
+	p, dialled := newPool(t)
+	for i := range 2 {
+		answer, err := ask(t.Context(), p, addr, fmt.Sprint(i), make([]byte, 32<<20))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body()), qt.Equals, "early")
+	}
+	qt.Assert(t, dialled.Load(), qt.Equals, int32(2))
+}
+
+// TestNothingIsSentTwice breaks a kept connection under its second request.
+func TestNothingIsSentTwice(t *testing.T) {
+	var requests atomic.Int32
+	addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := readRequest(br)
+			if !ok || requests.Add(1) > 1 {
+				return
+			}
+			reply(conn, id, "first")
+		}
+	})
+	p, _ := newPool(t)
+	_, err := ask(t.Context(), p, addr, "1", nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = ask(t.Context(), p, addr, "2", nil)
+	qt.Assert(t, err, qt.ErrorIs, exchange.ErrBroken)
+	qt.Assert(t, exchange.NotSent(err), qt.IsFalse)
+	qt.Assert(t, requests.Load(), qt.Equals, int32(2))
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	p, _ := newPool(t)
+	_, err := ask(t.Context(), p, netip.MustParseAddrPort("127.255.255.1:1"), "1", nil)
+	qt.Assert(t, exchange.NotSent(err), qt.IsTrue)
+}
+
+// TestCancellationReachesThePeer: the connection of a request that is given up is closed.
+func TestCancellationReachesThePeer(t *testing.T) {
+	ended := make(chan error, 1)
+	asked := make(chan struct{})
+	addr := peer(t, func(_ net.Conn, br *bufio.Reader) {
+		_, _ = readRequest(br)
+		close(asked)
+		_, err := br.ReadByte()
+		ended <- err
+	})
+	p, _ := newPool(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-asked
+		cancel()
+	}()
+	_, err := ask(ctx, p, addr, "1", nil)
+	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
+	qt.Assert(t, <-ended, qt.IsNotNil)
+}
+
+// TestClosedIdleConnectionIsNotUsed: a peer that has closed a kept connection gets the next request on a new one.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	addr := peer(t, func(conn net.Conn, br *bufio.Reader) {
+		id, ok := readRequest(br)
+		if !ok {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", id)
+		closed <- struct{}{}
+	})
+	p, dialled := newPool(t)
+	for i := range 3 {
+		_, err := ask(t.Context(), p, addr, fmt.Sprint(i), nil)
+		qt.Assert(t, err, qt.IsNil)
+		<-closed
+	}
+	qt.Assert(t, dialled.Load(), qt.Equals, int32(3))
+}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -101,7 +101,6 @@
 		c.retire()
 		return nil, &Failure{sent: sent, err: oops.In("exchange.do").With("peer", to).Wrap(err)}
 	}
-	p.put(c)
 	return answer, nil
 }
 
