--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -322,21 +322,23 @@
 
 // TestTrimmedDocumentsAreAskedAnew: the entries that a reader would go on from are gone.
 func TestTrimmedDocumentsAreAskedAnew(t *testing.T) {
-	w := settled(t, 12, 3)
-	for _, n := range w.nodes {
-		n.away = true
-	}
-	w.run(3 * time.Second)
-	version := 0
-	for range 5 {
-		version = w.publish()
-	}
-	w.first = len(w.documents) - 1
-	for _, n := range w.nodes {
-		n.away = false
+	for _, size := range []int{1, 12} {
+		w := settled(t, size, 3)
+		for _, n := range w.nodes {
+			n.away = true
+		}
+		w.run(3 * time.Second)
+		version := 0
+		for range 5 {
+			version = w.publish()
+		}
+		w.first = len(w.documents) - 1
+		for _, n := range w.nodes {
+			n.away = false
+		}
+		w.run(inForce)
+		w.assertInForce(version, "after the store was away")
 	}
-	w.run(inForce)
-	w.assertInForce(version, "after the store was away")
 }
 
 // TestRestartedNodeCatchesUp, with the store and without it.
