--- a/exchange/message.go
+++ b/exchange/message.go
@@ -30,6 +30,12 @@
 	return &Request{method: method, target: target, host: host, header: header, body: body, minor: 1}
 }
 
+// At returns the request as one received at a time.
+func (r *Request) At(received time.Time) *Request {
+	r.received = received
+	return r
+}
+
 // Method returns the method.
 func (r *Request) Method() string { return r.method }
 
--- /dev/null
+++ b/presence/presence_test.go
@@ -0,0 +1,154 @@
+package presence
+
+import (
+	"flag"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooknot/bambooknot/member"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "5")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+const lapse = 5 * time.Second
+
+var (
+	start   = time.Unix(1000, 0)
+	address = netip.MustParseAddrPort("10.0.0.1:8080")
+)
+
+func heartbeat(id string, started, sequence int64, state member.ServerState) Heartbeat {
+	return Heartbeat{ID: id, Started: started, Sequence: sequence, Address: address, Server: member.NewServer("orders", state, 4)}
+}
+
+func ready(id string, started, sequence int64) Heartbeat {
+	return heartbeat(id, started, sequence, member.ServerReady)
+}
+
+func assertPresent(t *testing.T, m *Machine, id string, state member.ServerState) {
+	t.Helper()
+	h, ok := m.Present()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, h.ID, qt.Equals, id)
+	qt.Assert(t, h.Server.State(), qt.Equals, state)
+}
+
+func TestOldReportsChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	m := New(lapse, true)
+	c.Assert(m.Report(start, ready("a", 10, 5)), qt.Equals, VerdictTaken)
+	c.Assert(m.Report(start, heartbeat("a", 10, 6, member.ServerDraining)), qt.Equals, VerdictTaken)
+	c.Assert(m.Report(start, ready("a", 10, 4)), qt.Equals, VerdictLate)
+	c.Assert(m.Report(start, ready("a", 9, 99)), qt.Equals, VerdictGone)
+	assertPresent(t, m, "a", member.ServerDraining)
+	c.Assert(m.Report(start, ready("a", 10, 7)), qt.Equals, VerdictTaken)
+	assertPresent(t, m, "a", member.ServerDraining)
+}
+
+// TestAnotherServerTakesTheAddress: late reports of the one before it don't bring it back.
+func TestAnotherServerTakesTheAddress(t *testing.T) {
+	c := qt.New(t)
+	m := New(lapse, true)
+	m.Report(start, ready("a", 10, 5))
+	c.Assert(m.Report(start, ready("b", 20, 1)), qt.Equals, VerdictTaken)
+	c.Assert(m.Report(start, ready("a", 10, 6)), qt.Equals, VerdictGone)
+	assertPresent(t, m, "b", member.ServerReady)
+	c.Assert(m.Report(start, ready("a", 30, 1)), qt.Equals, VerdictTaken, qt.Commentf("it has started again under its ID"))
+	assertPresent(t, m, "a", member.ServerReady)
+}
+
+func TestServerThatLeftStaysAway(t *testing.T) {
+	c := qt.New(t)
+	m := New(lapse, true)
+	m.Report(start, ready("a", 10, 5))
+	c.Assert(m.Leave("a", 999), qt.IsTrue)
+	assertPresent(t, m, "a", member.ServerDraining)
+	c.Assert(m.Report(start, ready("a", 10, 6)), qt.Equals, VerdictGone)
+	c.Assert(m.Report(start, ready("a", 11, 1)), qt.Equals, VerdictTaken)
+	assertPresent(t, m, "a", member.ServerReady)
+}
+
+// TestLeaveOfAnUnknownServer: a node that has restarted hears the leave first, and the report before it afterwards.
+func TestLeaveOfAnUnknownServer(t *testing.T) {
+	c := qt.New(t)
+	m := New(lapse, false)
+	c.Assert(m.Leave("a", 500), qt.IsFalse)
+	c.Assert(m.Report(start, ready("a", 499, 9)), qt.Equals, VerdictGone)
+	_, ok := m.Present()
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestRestartedNodeChecks: what a node hears first after a restart may be old.
+func TestRestartedNodeChecks(t *testing.T) {
+	c := qt.New(t)
+	m := New(lapse, false)
+	m.Report(start, ready("a", 10, 5))
+	assertPresent(t, m, "a", member.ServerNone)
+	h, due := m.NeedsCheck()
+	c.Assert(due, qt.IsTrue)
+	m.Checked(h.ID, false)
+	assertPresent(t, m, "a", member.ServerNone)
+	m.Checked("b", true)
+	assertPresent(t, m, "a", member.ServerNone)
+	m.Checked(h.ID, true)
+	assertPresent(t, m, "a", member.ServerReady)
+	m.Report(start, ready("b", 20, 1))
+	assertPresent(t, m, "b", member.ServerReady)
+}
+
+func TestSilentServerLapses(t *testing.T) {
+	m := New(lapse, true)
+	m.Report(start, ready("a", 10, 5))
+	m.Tick(start.Add(lapse - 1))
+	assertPresent(t, m, "a", member.ServerReady)
+	m.Tick(start.Add(lapse))
+	assertPresent(t, m, "a", member.ServerNone)
+	m.Report(start.Add(lapse), ready("a", 10, 6))
+	assertPresent(t, m, "a", member.ServerReady)
+}
+
+// TestNoWorkAfterLeaving draws reports of successive servers, delivered in any order and more than once: a server
+// that was told to be draining or gone is never ready again, and an older one never follows a newer one.
+func TestNoWorkAfterLeaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(lapse, true)
+		left := make(map[int64]bool)
+		newest := int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			started := rapid.Int64Range(1, 4).Draw(t, "started")
+			id := string(rune('a' + started%3))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				if m.Leave(id, started) {
+					h, _ := m.Present()
+					left[h.Started] = true
+				}
+			case 1:
+				h := heartbeat(id, started, rapid.Int64Range(1, 9).Draw(t, "sequence"), member.ServerDraining)
+				if m.Report(start, h) == VerdictTaken {
+					left[started] = true
+				}
+			default:
+				m.Report(start, ready(id, started, rapid.Int64Range(1, 9).Draw(t, "sequence")))
+			}
+			h, ok := m.Present()
+			if !ok {
+				continue
+			}
+			if left[h.Started] && h.Server.State() == member.ServerReady {
+				t.Fatalf("server %s started at %d is ready again", h.ID, h.Started)
+			}
+			if h.Started < newest {
+				t.Fatalf("server started at %d follows one started at %d", h.Started, newest)
+			}
+			newest = h.Started
+		}
+	})
+}
--- /dev/null
+++ b/proxy/fixture_test.go
@@ -0,0 +1,185 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bambooknot/bambooknot/balance"
+	"github.com/bambooknot/bambooknot/exchange"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/proxy"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/retry"
+	"github.com/bambooknot/bambooknot/routing"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+const (
+	service = "orders"
+	slots   = 4
+)
+
+var place = member.NewPlace("west", "w1")
+
+// backend is a scripted backend server. It counts what it runs by attempt.
+type backend struct {
+	id     string
+	server *httptest.Server
+	handle atomic.Pointer[http.HandlerFunc]
+	mu     sync.Mutex
+	runs   map[string]int
+	orders []http.Header
+}
+
+func newBackend(t *testing.T, id string) *backend {
+	b := &backend{id: id, runs: make(map[string]int)}
+	b.behave(b.answer)
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*b.handle.Load())(w, r) }))
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *backend) behave(h http.HandlerFunc) { b.handle.Store(&h) }
+
+func (b *backend) address() netip.AddrPort {
+	return netip.MustParseAddrPort(b.server.Listener.Addr().String())
+}
+
+func (b *backend) run(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[r.Header.Get("X-Attempt-Id")]++
+	b.orders = append(b.orders, r.Header.Clone())
+}
+
+// answer runs a request and answers it as a sound server does.
+func (b *backend) answer(w http.ResponseWriter, r *http.Request) {
+	b.run(r)
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	w.Header().Set("X-Server-Seal", "sealed by "+b.id)
+	_, _ = io.WriteString(w, b.id)
+}
+
+// lose runs a request and breaks the connection in place of an answer.
+func (b *backend) lose(_ http.ResponseWriter, r *http.Request) {
+	b.run(r)
+	panic(http.ErrAbortHandler)
+}
+
+// shed refuses a request as not run.
+func (*backend) shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (b *backend) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, n := range b.runs {
+		sum += n
+	}
+	return sum
+}
+
+func (b *backend) ran(attempt string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[attempt]
+}
+
+// fixture is a fleet in one process: a node beside each backend, callers at the first one.
+type fixture struct {
+	t        *testing.T
+	backends []*backend
+	owners   []*proxy.Owner
+	members  []member.Member
+	ingress  *proxy.Ingress
+	snapshot atomic.Pointer[routing.Snapshot]
+	table    *routing.Table
+}
+
+func route(name, prefix string, kind routing.Kind, timeout time.Duration) routing.Route {
+	return routing.NewRoute(routing.RouteFields{
+		Name: name, Host: "a.example", Prefix: prefix, Kind: kind, Timeout: timeout, Target: timeout / 2, Priority: 1, Attempts: 3,
+		Parts: []routing.Part{routing.NewPart(service, 1)},
+	})
+}
+
+func newFixture(t *testing.T, nodes int, scope tally.Scope) *fixture {
+	f := &fixture{t: t, table: routing.NewTable(1, []routing.Route{
+		route("read", "/read/", routing.KindSafe, 20*time.Second),
+		route("pay", "/pay/", routing.KindUnsafe, 20*time.Second),
+		route("quick", "/quick/", routing.KindUnsafe, 200*time.Millisecond),
+	}, nil, routing.Limits{})}
+	clock := timer.New()
+	for i := range nodes {
+		f.addNode(clock, scope, string(rune('a'+i)))
+	}
+	f.ingress = proxy.NewIngress(proxy.IngressSettings{
+		Self: f.members[0].Key(), Place: place, Snapshot: f.snapshot.Load, Service: func() string { return "web" }, Owner: f.owners[0],
+		Dial:  exchange.PoolSettings{Dial: exchange.Dial, DialTimeout: 5 * time.Second, IdleTimeout: time.Minute, Idle: 16, BodyBytes: 1 << 20},
+		Retry: retry.WindowSettings{Span: 10 * time.Second, Share: 1, Reserve: 1000}, Balance: balance.Settings{Failures: 1 << 20},
+		Timers: clock, Rand: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(), Scope: scope,
+	})
+	t.Cleanup(f.ingress.Close)
+	f.publish()
+	return f
+}
+
+func (f *fixture) addNode(clock *timer.Service, scope tally.Scope, id string) {
+	b := newBackend(f.t, id)
+	owner := proxy.NewOwner(proxy.OwnerSettings{Timers: clock, Log: zerolog.Nop(), Scope: scope})
+	server := member.NewServer(service, member.ServerReady, slots)
+	owner.SetBackend(proxy.NewBackend(id, b.address(), server))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(f.t, err, qt.IsNil)
+	inner := exchange.NewServer(l, exchange.Settings{
+		Handle:        owner.ServeCall,
+		Limits:        func() exchange.Limits { return exchange.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 20} },
+		HeaderTimeout: func() time.Duration { return time.Minute },
+		IdleTimeout:   func() time.Duration { return time.Minute },
+		Timers:        clock,
+	})
+	f.t.Cleanup(owner.Close)
+	f.t.Cleanup(inner.Close)
+	key := member.NewKey(netip.MustParseAddrPort(l.Addr().String()), 1)
+	f.backends = append(f.backends, b)
+	f.owners = append(f.owners, owner)
+	f.members = append(f.members, member.New(key, place, record.SchemaNewest).WithServer(server))
+}
+
+func (f *fixture) publish() {
+	f.snapshot.Store(routing.NewSnapshot(f.table, member.NewView(f.members[0].Key(), append([]member.Member(nil), f.members...))))
+}
+
+// ask sends a request of a caller.
+func (f *fixture) ask(ctx context.Context, method, path, attempt string) *exchange.Response {
+	h := http.Header{"X-Attempt-Id": {attempt}, "X-Deadline-Remaining": {"15000"}}
+	return f.ingress.Handle(ctx, received(exchange.NewRequest(method, path, "a.example", h, []byte("body"))))
+}
+
+// received returns a request as if it had just been read.
+func received(r *exchange.Request) *exchange.Request { return r.At(time.Now()) }
+
+func (f *fixture) ran(attempt string) int {
+	sum := 0
+	for _, b := range f.backends {
+		sum += b.ran(attempt)
+	}
+	return sum
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,78 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/retry"
+)
+
+// TestFleetKeepsWithinItsWindow has twelve nodes retry as often as they may, at uneven loads, and counts over sliding
+// windows what all of them spend together.
+func TestFleetKeepsWithinItsWindow(t *testing.T) {
+	const (
+		nodes   = 12
+		span    = 10 * time.Second
+		share   = 0.2
+		reserve = 62
+		step    = 20 * time.Millisecond
+		steps   = 3000
+	)
+	settings := retry.WindowSettings{Span: span, Share: share / 2, Reserve: reserve / 2}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var windows []*retry.Window
+	for range nodes {
+		windows = append(windows, retry.NewWindow(settings))
+	}
+	var first, spent [steps]int
+	for i := range steps {
+		now := time.Unix(1000, 0).Add(time.Duration(i) * step)
+		for n, w := range windows {
+			if rnd.IntN(nodes) < n && (i/500)%3 != 1 {
+				w.First(now)
+				first[i]++
+			}
+			for w.Take(now, nodes) {
+				spent[i]++
+			}
+		}
+	}
+	slots := int(span / step)
+	for i := slots; i < steps; i++ {
+		f, s := 0, 0
+		for j := i - slots; j < i; j++ {
+			f += first[j]
+			s += spent[j]
+		}
+		qt.Assert(t, float64(s) <= share*float64(max(f, before(first[:], i-slots/2, slots)))+reserve, qt.IsTrue,
+			qt.Commentf("%d retries for %d requests up to step %d", s, f, i))
+	}
+}
+
+// before counts the requests of the window that ends at a step.
+func before(first []int, end, slots int) int {
+	sum := 0
+	for j := max(end-slots, 0); j < end; j++ {
+		sum += first[j]
+	}
+	return sum
+}
+
+func TestWindowForgets(t *testing.T) {
+	c := qt.New(t)
+	w := retry.NewWindow(retry.WindowSettings{Span: 10 * time.Second, Share: 0.5, Reserve: 2})
+	now := time.Unix(1000, 0)
+	c.Assert(w.Take(now, 1), qt.IsTrue)
+	c.Assert(w.Take(now, 1), qt.IsTrue)
+	c.Assert(w.Take(now, 1), qt.IsFalse)
+	w.First(now)
+	w.First(now)
+	c.Assert(w.Take(now, 1), qt.IsTrue)
+	c.Assert(w.Take(now, 1), qt.IsFalse)
+	later := now.Add(11 * time.Second)
+	c.Assert(w.Take(later, 2), qt.IsTrue)
+	c.Assert(w.Take(later, 2), qt.IsFalse)
+}
