--- a/command/check.go
+++ b/command/check.go
@@ -9,7 +9,8 @@
 )
 
 const checkLong = `Checks settings files and record files without a node and prints every fault with its file, its
-key and what is allowed. A file with a section [fleet] or [node] counts as settings, any other as records. References
+key and what is allowed. A file with a section [vm] counts as settings of a sidecar, one with [fleet] or [node] as
+settings of a node, any other as records. References
 between records are checked by the fleet when they are published.
 
 Exit codes: 0 no fault; 2 a fault.`
@@ -42,6 +43,10 @@
 	if err != nil {
 		return "", err
 	}
+	if doc.Root().Has("vm") {
+		_, err = setting.LoadSidecar(path)
+		return "settings", err
+	}
 	if doc.Root().Has("fleet") || doc.Root().Has("node") {
 		_, err = setting.Load(path)
 		return "settings", err
--- a/docs_test.go
+++ b/docs_test.go
@@ -70,10 +70,12 @@
 			switch kind, _, _ := strings.Cut(block[2], "\n"); kind {
 			case "# settings":
 				_, err = setting.Parse(path, []byte(block[2]))
+			case "# sidecar":
+				_, err = setting.ParseSidecar(path, []byte(block[2]))
 			case "# records":
 				_, err = recordfile.Parse(path, []byte(block[2]))
 			default:
-				t.Errorf("%s: an example starts with %q; allowed are # settings and # records", path, kind)
+				t.Errorf("%s: an example starts with %q; allowed are # settings, # sidecar and # records", path, kind)
 			}
 			qt.Check(t, err, qt.IsNil, qt.Commentf("%s", path))
 			examples++
@@ -130,6 +132,17 @@
 	}
 }
 
+// TestSidecarSettingsPage checks that the page names each key of the template from which the platform makes the
+// settings.
+func TestSidecarSettingsPage(t *testing.T) {
+	page := readFile(t, "doc/bambooknot-sidecar-settings.5.md")
+	keys := sampleKey.FindAllStringSubmatch(readFile(t, "deploy/sidecar.toml.tmpl"), -1)
+	qt.Assert(t, len(keys) >= 18, qt.IsTrue)
+	for _, key := range keys {
+		qt.Check(t, page, qt.Contains, "`"+key[1]+"`")
+	}
+}
+
 // TestGoInPages checks that each Go example stands, as it is, in the file that its first line names.
 func TestGoInPages(t *testing.T) {
 	examples := 0
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -171,7 +171,7 @@
 	n.loop = newLoop(n.clock, n.queue, n.handle)
 }
 
-func (n *Sidecar) startPorts(s setting.Sidecar, sockets sidecarSockets) {
+func (n *Sidecar) startPorts(_ setting.Sidecar, sockets sidecarSockets) {
 	n.server = newHTTPEdge(sockets.server, n.reports)
 	n.ready = newHTTPEdge(sockets.ready, http.HandlerFunc(n.serveReady))
 	n.observe = newHTTPEdge(sockets.metrics, n.metrics.Handler())
