--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -20,17 +20,22 @@
 	return admission.Priority(maxUrgency - min(max(c.urgency, 0), maxUrgency))
 }
 
-// latestStart returns the time by which a request must begin to run. It answers load beyond what the server
-// can run: who cannot be answered within its target is refused while the caller can still go elsewhere or come back,
-// and the slots go to those who can. Whose target has passed already may wait as long as it can still be
-// answered at all.
-func latestStart(now time.Time, c Call, expected time.Duration) time.Time {
-	if room := c.target - expected; room > 0 {
-		return now.Add(min(room, c.left))
+// latestStart returns the time by which a request must begin to run, if most of its class end within a time. It
+// answers load beyond what the server can run: who probably can't be answered within its target is refused while the caller can
+// still go elsewhere or come back, and the slots go to those who can. Whose target has passed already may wait as
+// long as it can still be answered at all.
+func latestStart(now time.Time, c Call, most time.Duration) time.Time {
+	if c.target <= 0 {
+		return now.Add(max(c.left-most, minStart))
 	}
-	return now.Add(max(c.left-expected, minStart))
+	room := max(c.target-most, c.target/leastRoom)
+	return now.Add(min(room, c.left))
 }
 
+// leastRoom divides the target to give the time that any request may wait. Without it, a class of which a few were
+// slow would be refused for good, as no later one could show that it has become faster.
+const leastRoom = 8
+
 // minStart is the least time in which a request may start, so that a free slot is always used.
 const minStart = time.Millisecond
 
