balance, proxy: weigh servers by their pace, and believe a full region for longer

Cause: servers of one service differ in speed by more than 2, and got equal numbers of calls; a saturated region tried the other one each 50 ms though it was full too, at 40 ms and billed bytes a try. Both decisions are in balance, with a test each.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,11 +12,12 @@
 
 // Settings of a Machine.
 type Settings struct {
-	Subset    int           // servers of one service and distance that a node sends calls to
-	Failures  int           // consecutive failures after which a server is ejected
-	Ejection  time.Duration // time of a first ejection; it doubles with each further one
-	SlowStart time.Duration // time over which a server that turned ready comes to its full share
-	Cooling   time.Duration // time for which a server that refused a call counts as full
+	Subset     int           // servers of one service and distance that a node sends calls to
+	Failures   int           // consecutive failures after which a server is ejected
+	Ejection   time.Duration // time of a first ejection; it doubles with each further one
+	SlowStart  time.Duration // time over which a server that turned ready comes to its full share
+	Cooling    time.Duration // time for which a server that refused a call counts as full
+	FarCooling time.Duration // the same for a server of another region; zero means Cooling
 }
 
 // Defaults of Settings.
@@ -32,7 +33,9 @@
 	loadMemory  = 200 * time.Millisecond // age at which a load carried back counts for nothing
 	drainMemory = 5 * time.Second        // time for which a server that said that it drains is avoided
 	choices     = 2
-	suspectLoad = 2 // share of its slots by which a suspected server seems more loaded
+	tookWeight  = 1.0 / 16 // weight of one call in the smoothed times
+	maxPace     = 4.0      // by which a server may seem faster or slower than its service
+	suspectLoad = 2        // share of its slots by which a suspected server seems more loaded
 )
 
 // distance classes servers by where they are, the nearest first.
@@ -54,6 +57,7 @@
 
 	recent  [2]generation // newest view first; requests in flight may still use the one before
 	targets map[member.Key]*target
+	mean    map[string]time.Duration // smoothed time of answered calls, by service
 
 	mayEject func(p *pool, now time.Time) bool   // seam
 	mayCross func(t *target, now time.Time) bool // seam
@@ -78,6 +82,7 @@
 	inFlight   int
 	carried    int // calls at the server as carried back, without those from here
 	carriedAt  time.Time
+	took       time.Duration // smoothed time of answered calls, zero before the first
 	failures   int
 	ejections  int
 	ejected    time.Time // until then
@@ -95,6 +100,7 @@
 		place:    place,
 		rnd:      rnd,
 		targets:  make(map[member.Key]*target),
+		mean:     make(map[string]time.Duration),
 		mayEject: withinEjectionCap,
 		mayCross: saturated,
 	}
@@ -116,6 +122,9 @@
 	if s.Cooling <= 0 {
 		s.Cooling = DefaultCooling
 	}
+	if s.FarCooling <= 0 {
+		s.FarCooling = s.Cooling
+	}
 	return s
 }
 
@@ -240,7 +249,7 @@
 
 // score is lower for a better server.
 func (m *Machine) score(now time.Time, t *target) float64 {
-	load := (t.load(now) + 1) / float64(t.slots())
+	load := (t.load(now) + 1) / float64(t.slots()) * m.pace(t)
 	if now.Before(t.coolUntil) {
 		load++
 	}
@@ -258,3 +267,12 @@
 	done := float64(now.Sub(t.readySince)) / float64(m.settings.SlowStart)
 	return min(max(done, minWeight), 1)
 }
+
+// pace tells how much slower a server answers than its service does on the average.
+func (m *Machine) pace(t *target) float64 {
+	mean := m.mean[t.member.Server().Service()]
+	if t.took == 0 || mean == 0 {
+		return 1
+	}
+	return min(max(float64(t.took)/float64(mean), 1/maxPace), maxPace)
+}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -280,3 +280,35 @@
 		m.Ended(start, got.Key(), ResultAnswered)
 	}
 }
+
+// TestSlowerServersGetLess: of two servers with equal load the one that answers faster goes first.
+func TestSlowerServersGetLess(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	view := viewOf(ready(1, here), ready(2, here))
+	m.Choose(start, view, "orders", nil)
+	for range 200 {
+		m.Took(key(1), 300*time.Millisecond)
+		m.Took(key(2), 100*time.Millisecond)
+	}
+	faster := 0
+	for range 400 {
+		if got, _ := m.Choose(start, view, "orders", nil); got.Key() == key(2) {
+			faster++
+		}
+	}
+	c.Assert(faster > 260, qt.IsTrue, qt.Commentf("%d of 400, where two random choices allow 300", faster))
+}
+
+// TestFullRegionIsLeftAlone: after a refusal by the other region no call crosses for a while, though the own one is
+// saturated.
+func TestFullRegionIsLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	m := New(Settings{FarCooling: time.Second}, self, here, rand.New(rand.NewPCG(1, 2)))
+	view := viewOf(ready(1, here), ready(3, far))
+	spread(m, start, view, 8)
+	c.Assert(spread(m, start, view, 1), qt.DeepEquals, map[member.Key]int{key(3): 1})
+	m.Ended(start, key(3), ResultRefused)
+	c.Assert(spread(m, start.Add(900*time.Millisecond), view, 1), qt.DeepEquals, map[member.Key]int{key(1): 1})
+	c.Assert(spread(m, start.Add(time.Second), view, 1), qt.DeepEquals, map[member.Key]int{key(3): 1})
+}
--- a/balance/report.go
+++ b/balance/report.go
@@ -73,7 +73,7 @@
 		t.ejections = 0
 	case ResultRefused:
 		t.failures = 0
-		t.coolUntil = now.Add(m.settings.Cooling)
+		t.coolUntil = now.Add(m.cooling(t))
 	case ResultDraining:
 		t.drainUntil = now.Add(drainMemory)
 	case ResultFailed:
@@ -123,3 +123,28 @@
 func (m *Machine) Targets(now time.Time, view *member.View, service string) int {
 	return m.pool(now, view, service).size
 }
+
+func (m *Machine) cooling(t *target) time.Duration {
+	if m.distance(t.member.Place()) == otherRegion {
+		return m.settings.FarCooling
+	}
+	return m.settings.Cooling
+}
+
+// Took records how long an answered call took.
+func (m *Machine) Took(key member.Key, took time.Duration) {
+	t, ok := m.targets[key]
+	if !ok {
+		return
+	}
+	t.took = smooth(t.took, took)
+	service := t.member.Server().Service()
+	m.mean[service] = smooth(m.mean[service], took)
+}
+
+func smooth(held, sample time.Duration) time.Duration {
+	if held == 0 {
+		return sample
+	}
+	return held + time.Duration(tookWeight*float64(sample-held))
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -94,6 +94,9 @@
 	maxPeerAnswer   = 64 << 20 // bytes
 	// retryCaution is the share of the fleet's permitted retries that nodes spend: members die and windows slide.
 	retryCaution = 0.5
+	// farCooling is how long a refusal by the other region is believed. Each further try costs the caller 40 ms and
+	// bytes over the billed link, and a region that is full stays so for longer than a server.
+	farCooling = 500 * time.Millisecond
 	// coldTime is how long a server that turned ready gets less than its share.
 	coldTime = 3 * time.Second
 )
@@ -112,7 +115,7 @@
 		Retry: retry.WindowSettings{
 			Span: s.Retries().Window(), Share: s.Retries().Share() * retryCaution, Reserve: float64(s.Retries().Reserve()) * retryCaution,
 		},
-		Balance: balance.Settings{SlowStart: coldTime},
+		Balance: balance.Settings{SlowStart: coldTime, FarCooling: farCooling},
 		Timers:  n.clock,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation()))),
 		Log:     n.log,
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -260,7 +260,7 @@
 	} else {
 		result = in.forward(ctx, c, r, to.Key().Peer())
 	}
-	in.ended(to.Key(), result)
+	in.ended(to.Key(), result, in.settings.Timers.Now().Sub(now))
 	return result
 }
 
@@ -289,7 +289,7 @@
 }
 
 // ended tells the choice of servers what a request shows of its server.
-func (in *Ingress) ended(to member.Key, r Result) {
+func (in *Ingress) ended(to member.Key, r Result, took time.Duration) {
 	now := in.settings.Timers.Now()
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -297,6 +297,9 @@
 		in.servers.Carried(now, to, r.load)
 	}
 	in.servers.Ended(now, to, outcomeFor(r))
+	if r.ending == EndingAnswered {
+		in.servers.Took(to, took)
+	}
 }
 
 func outcomeFor(r Result) balance.Result {
