query, node: trace a request through the logs of several nodes

Each request leaves a line at its caller's node and at each server's node; lines of answered requests have an allowance of their own and are left out first. Times have nanoseconds, so that lines of several nodes can be put in order.

--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -49,6 +49,7 @@
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory())))
 	clock := timer.New()
+	zerolog.TimeFieldFormat = time.RFC3339Nano // lines of several nodes are put in order by it
 	sink := node.NewSink(env.Out, clock)
 	defer sink.Close()
 	log := zerolog.New(sink).With().Timestamp().Str("vm", s.Name()).Logger()
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -103,8 +103,9 @@
 
 func (n *Sidecar) startTraffic(self member.Member, s setting.Sidecar) {
 	scope := n.metrics.Scope()
+	routine := n.log.Output(n.sink.Routine())
 	dialer := link.NewDialer(sidecarFleet)
-	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: n.clock, Log: n.log, Scope: scope})
+	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: n.clock, Log: n.log, Routine: routine, Scope: scope})
 	n.ingress = proxy.NewIngress(proxy.IngressSettings{
 		Self:     self.Key(),
 		Place:    s.Place(),
@@ -119,6 +120,7 @@
 		Timers:  n.clock,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation()))),
 		Log:     n.log,
+		Routine: routine,
 		Scope:   scope,
 	})
 	n.inner = exchange.NewServer(nil, exchange.Settings{
@@ -321,7 +323,9 @@
 // gauge records what changes slowly.
 func (n *Sidecar) gauge(now time.Time) {
 	scope := n.metrics.Scope()
-	scope.Gauge("log_lines_dropped").Update(float64(n.sink.Dropped()))
+	events, routine := n.sink.Dropped()
+	scope.Gauge("log_lines_dropped").Update(float64(events))
+	scope.Gauge("log_routine_lines_dropped").Update(float64(routine))
 	scope.Gauge("callers_active").Update(float64(n.callers.Active()))
 	n.queue.ask(func() {
 		f := n.core.Feed()
--- /dev/null
+++ b/node/sink_test.go
@@ -0,0 +1,69 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/node"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// stuckWriter blocks until released, as a full pipe does.
+type stuckWriter struct {
+	released chan struct{}
+	mu       sync.Mutex
+	data     bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.released
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.data.Write(p)
+}
+
+// TestSinkNeverBlocks writes more than may wait while nobody reads. What is left out is counted.
+func TestSinkNeverBlocks(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	w := &stuckWriter{released: make(chan struct{})}
+	sink := node.NewSink(w, clock.Service())
+	for second := range 5 {
+		for i := range 500 {
+			n, err := fmt.Fprintf(sink, "line %d of second %d\n", i, second)
+			c.Assert(err, qt.IsNil)
+			c.Assert(n > 0, qt.IsTrue)
+		}
+		clock.Advance(time.Second)
+	}
+	close(w.released)
+	sink.Close()
+	events, routine := sink.Dropped()
+	written := bytes.Count(w.data.Bytes(), []byte("\n"))
+	c.Assert(written+int(events), qt.Equals, 2500)
+	c.Assert(events >= 1400, qt.IsTrue, qt.Commentf("%d lines left out", events))
+	c.Assert(routine, qt.Equals, int64(0))
+}
+
+// TestRoutineLinesAreLeftOutFirst: lines of answered requests take no room from those of failures.
+func TestRoutineLinesAreLeftOutFirst(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	sink := node.NewSink(&out, timer.NewManual(time.Unix(1000, 0)).Service())
+	for range 1000 {
+		fmt.Fprintln(sink.Routine(), "routine")
+	}
+	for range 300 {
+		fmt.Fprintln(sink, "failure")
+	}
+	sink.Close()
+	events, routine := sink.Dropped()
+	c.Assert(events, qt.Equals, int64(0))
+	c.Assert(routine, qt.Equals, int64(800))
+	c.Assert(bytes.Count(out.Bytes(), []byte("failure")), qt.Equals, 300)
+}
--- a/proxy/answering.go
+++ b/proxy/answering.go
@@ -11,10 +11,13 @@
 
 // finish turns the result of the last attempt into the answer for the caller.
 func (in *Ingress) finish(q *request, r Result) *exchange.Response {
-	if r.ending == EndingAnswered {
-		return r.answer
+	if r.ending != EndingAnswered {
+		return in.giveUp(q, r)
 	}
-	return in.giveUp(q, r)
+	in.settings.Routine.Info().Str("kind", "request_answered").Str("request", q.attempt).Int("status", r.answer.Status()).
+		Str("route", q.route.Name()).Str("service", q.service).Uint64("version", q.version()).Stringer("node", q.tried[len(q.tried)-1].Peer()).
+		Int("tried", len(q.tried)).Int("arrivals", q.arrivals).Dur("limit", q.limit).Dur("took", in.settings.Timers.Now().Sub(q.begun)).Msg("request answered")
+	return r.answer
 }
 
 // giveUp answers a request that is not tried any further. 503 promises that it has not run and never will; 502
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -35,6 +35,7 @@
 	Timers   *timer.Service
 	Rand     *rand.Rand
 	Log      zerolog.Logger
+	Routine  zerolog.Logger // for requests that were answered
 	Scope    tally.Scope
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -42,9 +42,10 @@
 
 // OwnerSettings of an Owner.
 type OwnerSettings struct {
-	Timers *timer.Service
-	Log    zerolog.Logger
-	Scope  tally.Scope
+	Timers  *timer.Service
+	Log     zerolog.Logger
+	Routine zerolog.Logger // for requests that were answered
+	Scope   tally.Scope
 }
 
 // Connections to the server beside the node.
@@ -237,13 +238,15 @@
 func (o *Owner) count(c Call, result Result, start time.Time) {
 	o.results.Tagged(map[string]string{"ending": result.ending.String(), "reason": string(result.reason)}).Counter("owner_requests").Inc(1)
 	took := o.settings.Timers.Now().Sub(start)
+	log, text := &o.settings.Log, "request was not answered by the server"
 	if result.ending == EndingAnswered {
 		o.running.RecordDuration(took)
-		return
+		log, text = &o.settings.Routine, "request was answered by the server"
 	}
-	o.settings.Log.Info().Str("kind", "server_result").Str("request", c.attempt).Stringer("ending", result.ending).Str("reason", string(result.reason)).
+	b, _ := o.Backend()
+	log.Info().Str("kind", "server_result").Str("request", c.attempt).Str("server", b.id).Stringer("ending", result.ending).Str("reason", string(result.reason)).
 		Int("urgency", c.urgency).Dur("left", c.left).Dur("target", c.target).Dur("most", o.expected.most(c)).
-		Int("running", result.load.Running()).Int("queued", result.load.Queued()).Dur("took", took).Msg("request was not answered by the server")
+		Int("running", result.load.Running()).Int("queued", result.load.Queued()).Dur("took", took).Msg(text)
 }
 
 // Close ends the connections to the server.
--- /dev/null
+++ b/query/trace.go
@@ -0,0 +1,158 @@
+package query
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bambooknot/bambooknot/command"
+)
+
+const traceLong = `Prints what the log lines of several sidecars tell of one request, in order of time: which server was
+chosen, what it did, why the request was tried elsewhere or given up. With --around, also what these nodes came to believe shortly before and
+after: routes, members, servers and the store. Text before the first brace of a line is left out, so lines that a collector has
+prefixed will do. Without FILE, lines are read from standard input.
+
+Exit codes: 0 found; 1 no line names the request, or a file could not be read; 2 bad arguments.`
+
+type traceQuery struct {
+	Around time.Duration `long:"around" value-name:"TIME" description:"print also what changed within this time before and after, such as 2s"`
+	Args   struct {
+		Request string   `positional-arg-name:"REQUEST-ID" required:"yes"`
+		Files   []string `positional-arg-name:"FILE"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	command.Register("trace", "Print what logs tell of a request", traceLong, func() command.Runner { return &traceQuery{} })
+}
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// logLine is one line of a sidecar's log.
+type logLine struct {
+	at     time.Time
+	node   string
+	fields map[string]any
+}
+
+func (l logLine) text(key string) string {
+	s, _ := l.fields[key].(string)
+	return s
+}
+
+func (q *traceQuery) Run(env command.Env, _ []string) int {
+	lines, err := q.read()
+	if err != nil {
+		return command.Fail(env, err)
+	}
+	story := selectLines(lines, q.Args.Request, q.Around)
+	if len(story) == 0 {
+		fmt.Fprintf(env.Err, "no line names the request %s\n", q.Args.Request)
+		return command.ExitFailure
+	}
+	for _, l := range story {
+		fmt.Fprintln(env.Out, formatLine(l, story[0].at))
+	}
+	return command.ExitOK
+}
+
+func (q *traceQuery) read() ([]logLine, error) {
+	if len(q.Args.Files) == 0 {
+		return readLines(os.Stdin)
+	}
+	var all []logLine
+	for _, path := range q.Args.Files {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := readLines(file)
+		_ = file.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// readLines returns the lines that are those of a sidecar; others are left out.
+func readLines(r io.Reader) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if l, ok := parseLine(scanner.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func parseLine(data []byte) (logLine, bool) {
+	start := bytes.IndexByte(data, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	var l logLine
+	if err := json.Unmarshal(data[start:], &l.fields); err != nil {
+		return logLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, l.text("time"))
+	l.at, l.node = at, l.text("vm")
+	return l, err == nil
+}
+
+// selectLines returns the lines that name a request, and those of changes within a time around them, in order.
+func selectLines(lines []logLine, request string, around time.Duration) []logLine {
+	var story []logLine
+	var first, last time.Time
+	for _, l := range lines {
+		if l.text("request") != request {
+			continue
+		}
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+		story = append(story, l)
+	}
+	if around > 0 && len(story) > 0 {
+		for _, l := range lines {
+			if l.text("request") == "" && !l.at.Before(first.Add(-around)) && !l.at.After(last.Add(around)) {
+				story = append(story, l)
+			}
+		}
+	}
+	slices.SortStableFunc(story, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return story
+}
+
+// shownFirst are fields that stand at fixed places of a line, and are not repeated.
+var shownFirst = []string{"time", "vm", "message", "level", "request"}
+
+func formatLine(l logLine, since time.Time) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%+.3fs %s: %s", l.at.Sub(since).Seconds(), l.node, l.text("message"))
+	keys := make([]string, 0, len(l.fields))
+	for key := range l.fields {
+		if !slices.Contains(shownFirst, key) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		fmt.Fprintf(&b, " %s=%v", key, l.fields[key])
+	}
+	return b.String()
+}
