--- a/rig/fleet.go
+++ b/rig/fleet.go
@@ -170,7 +170,7 @@
 // StartLog starts the stand-in for the platform's log. It holds what it held when it was killed.
 func (f *Fleet) StartLog() (err error) {
 	keep := filepath.Join(f.work, "log.entries")
-	f.log, err = startProcess("log", f.Program("standinlog"), "--listen", f.LogAddress().String(), "--keep", keep)
+	f.log, err = Start("log", f.Program("standinlog"), "--listen", f.LogAddress().String(), "--keep", keep)
 	return err
 }
 
@@ -181,7 +181,7 @@
 		return err
 	}
 	var err error
-	f.nodes[i], err = startProcess(fmt.Sprintf("node %d", i), f.Program("bambooknot"), "node", "--settings", path)
+	f.nodes[i], err = Start(fmt.Sprintf("node %d", i), f.Program("bambooknot"), "node", "--settings", path)
 	return err
 }
 
@@ -193,7 +193,7 @@
 		"--service", s.service, "--slots", fmt.Sprint(s.slots),
 	}, extra...)
 	var err error
-	f.servers[i], err = startProcess(fmt.Sprintf("server %d", i), f.Program("standinserver"), args...)
+	f.servers[i], err = Start(fmt.Sprintf("server %d", i), f.Program("standinserver"), args...)
 	return err
 }
 
--- a/rig/process.go
+++ b/rig/process.go
@@ -24,8 +24,8 @@
 	err    error
 }
 
-// startProcess starts a program. What it prints is kept for Output.
-func startProcess(name, program string, args ...string) (*Process, error) {
+// Start runs a program as a process. What it prints is kept for Output.
+func Start(name, program string, args ...string) (*Process, error) {
 	p := &Process{name: name, cmd: exec.Command(program, args...), output: &output{}, done: make(chan struct{})}
 	p.cmd.Stdout = p.output
 	p.cmd.Stderr = p.output
