fleet, link, setting: find restarted nodes without the store, and leave silent peers in time

Gateways probe some of those that left, too, and the platform's seeds are tried as hints.

TestSilentPeerHoldsNoCall took 2 s before.

--- a/fleet/region.go
+++ b/fleet/region.go
@@ -155,7 +155,7 @@
 	m.cross.queue = nil
 }
 
-// crossTick probes the other regions, and a dead member of this one, if the node is a gateway.
+// crossTick probes the other regions, and gone members of this one, if the node is a gateway.
 func (m *Machine) crossTick() {
 	if m.now.Before(m.cross.next) {
 		return
@@ -170,7 +170,7 @@
 			m.cross.silent++
 		}
 	}
-	m.probeDead()
+	m.probeGone()
 }
 
 // crossTarget returns the gateway of a region that has this node's rank, or any member while the
@@ -186,16 +186,19 @@
 	return r.gateways[max(m.gatewayRank(), 0)%len(r.gateways)]
 }
 
-// probeDead probes a member of the region that is held for dead, so that two halves of a region that
-// declared each other dead meet again.
-func (m *Machine) probeDead() {
-	var dead []*entry
+// probesOfGone bounds the gone members that a gateway probes at once.
+const probesOfGone = 3
+
+// probeGone probes some members of the region that are held for dead or have left, so that two halves of a region that
+// declared each other dead meet again, and a node that was stopped and started again is found without the log.
+func (m *Machine) probeGone() {
+	var gone []*entry
 	for _, e := range m.table.entries {
-		if e.claim.Health() == member.HealthDead && e.region() == m.region() {
-			dead = append(dead, e)
+		if !e.live() && e.region() == m.region() {
+			gone = append(gone, e)
 		}
 	}
-	if len(dead) > 0 {
-		m.ping(dead[m.rnd.IntN(len(dead))])
+	for _, e := range m.pick(probesOfGone, gone) {
+		m.ping(e)
 	}
 }
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 
@@ -38,7 +39,13 @@
 	if err != nil {
 		return nil, oops.In("link.dial").With("peer", peer).Wrap(err)
 	}
-	if err := introduce(conn, d.fleet, p, peer); err != nil {
+	// A peer that stands still accepts connections and says nothing.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = introduce(conn, d.fleet, p, peer)
+	if !stop() {
+		err = errors.Join(ctx.Err(), err)
+	}
+	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -170,3 +170,26 @@
 	_, _ = io.Copy(io.Discard, res.Body)
 	_ = res.Body.Close()
 }
+
+// TestSilentPeerHoldsNoCall: a node that stands still takes connections and says nothing. Whoever dials it waits no longer
+// than its caller does.
+func TestSilentPeerHoldsNoCall(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	dialled := make(chan error)
+	go func() {
+		_, err := NewDialer("shop").Calls(ctx, netip.MustParseAddrPort(l.Addr().String()))
+		dialled <- err
+	}()
+	silent, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	defer silent.Close()
+	hello := make([]byte, helloSize)
+	_, err = io.ReadFull(silent, hello)
+	c.Assert(err, qt.IsNil)
+	cancel()
+	c.Assert(<-dialled, qt.ErrorIs, context.Canceled)
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -142,7 +142,7 @@
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation())))
 	n.core = control.NewSidecar(control.SidecarSettings{
 		Self:    self,
-		Fleet:   fleet.ForSidecars(sidecarFleet, s.StoreKeep()),
+		Fleet:   fleet.ForSidecars(sidecarFleet, s.Hints(), s.StoreKeep()),
 		Feed:    feed.Settings{Self: self, Decode: platform.DecodeTable},
 		Trimmed: func(err error) bool { return platform.ClassOf(err) == platform.ClassTrimmed },
 	}, rnd)
@@ -345,7 +345,7 @@
 		n.log.Error().Str("kind", "reload_failed").Err(err).Msg("settings have faults, the old ones stay in force")
 		return
 	}
-	if held := n.settings.Load(); *held == s {
+	if held := n.settings.Load(); held.Equal(s) {
 		return
 	}
 	n.settings.Store(&s)
--- a/setting/sidecar.go
+++ b/setting/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,7 @@
 	metricsPort uint16
 	store       netip.AddrPort
 	storeKeep   time.Duration
+	seeds       []netip.Addr
 	heartbeat   time.Duration
 	grace       time.Duration
 	retries     Retries
@@ -89,6 +91,7 @@
 	var s Sidecar
 	s.readVM(root.Table("vm"))
 	s.readListen(root.Table("listen"))
+	s.readSeeds(root.Table("fleet"))
 	store := root.Table("store")
 	store.Require("address", "an IP number with a port")
 	s.store = store.AddrPort("address", netip.AddrPort{})
@@ -156,6 +159,22 @@
 	return uint16(first), nil
 }
 
+// readSeeds reads addresses of other nodes, of which the ports do not matter.
+func (s *Sidecar) readSeeds(t *tomldoc.Table) {
+	text := t.Text("seeds", "")
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part == "" {
+			continue
+		}
+		seed, err := netip.ParseAddrPort(part)
+		if err != nil {
+			t.Fault("seeds", "%q; allowed are IP numbers with ports, with commas between", part)
+			continue
+		}
+		s.seeds = append(s.seeds, seed.Addr())
+	}
+}
+
 func (s *Sidecar) readBounds(t *tomldoc.Table) {
 	s.grace = t.Duration("grace", defaultGrace, minBound, maxBound)
 	s.retries = Retries{
@@ -195,6 +214,20 @@
 // Peer returns the address for other nodes, over UDP and TCP.
 func (s Sidecar) Peer() netip.AddrPort { return netip.AddrPortFrom(s.address, s.firstPort) }
 
+// Hints returns the addresses at which other nodes may listen for nodes. They may be out of date.
+func (s Sidecar) Hints() []netip.AddrPort {
+	var hints []netip.AddrPort
+	for _, seed := range s.seeds {
+		if seed != s.address {
+			hints = append(hints, netip.AddrPortFrom(seed, s.firstPort))
+		}
+	}
+	return hints
+}
+
+// Equal tells whether two settings are the same.
+func (s Sidecar) Equal(other Sidecar) bool { return reflect.DeepEqual(s, other) }
+
 // Metrics returns the address for metrics.
 func (s Sidecar) Metrics() netip.AddrPort { return netip.AddrPortFrom(s.address, s.metricsPort) }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,8 +8,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -75,16 +77,21 @@
 		defer time.AfterFunc(time.Duration(rnd.IntN(30))*time.Millisecond, cancel).Stop()
 	}
 	c.world.checks.asked(attempt, safe)
-	begun := time.Now()
-	status, header, answer, err := c.send(ctx, method, path, attempt, body)
+	var written atomic.Pointer[time.Time] // when the request was sent whole
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			written.Store(&now)
+		}
+	}}
+	status, header, answer, err := c.send(httptrace.WithClientTrace(ctx, trace), method, path, attempt, body)
 	var refused *net.OpError
 	switch {
 	case err == nil:
 		c.world.checks.answered(attempt, status, header, answer, method+" "+path+" "+body)
 	case ctx.Err() != nil:
 	case errors.As(err, &refused) && refused.Op == "dial":
-	default:
-		c.world.checks.unanswered(attempt, begun, err)
+	case written.Load() != nil:
+		c.world.checks.unanswered(attempt, *written.Load(), err)
 	}
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,9 @@
 // calmTime follows the trouble: by its end everything has to work.
 const calmTime = 12 * time.Second
 
+// readyTime is how long nodes may take to say that they are ready, on a machine that is busy.
+const readyTime = 3 * time.Second
+
 // startTime bounds the start of a fleet.
 const startTime = 30 * time.Second
 
@@ -108,7 +111,7 @@
 	s.run(trouble)
 	done()
 	time.Sleep(calmTime)
-	if err := w.allReady(); err != nil {
+	if err := rig.Until(readyTime, w.allReady); err != nil {
 		w.checks.fail("after %v of calm: %v", calmTime, err)
 	}
 	cancel()
