--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: check, build, demo, bench, capacity, fuzz.
+# Targets: check, build, demo, bench, capacity, fuzz, soak.
 
-.PHONY: check build format lint demo bench capacity measure fuzz
+.PHONY: check build format tidy lint demo bench capacity measure fuzz soak
 
-check: format lint build
+check: format lint build tidy
 	go vet ./...
 	bash .ci/test
 
@@ -14,6 +14,9 @@
 	@files=$$(git ls-files '*.go' | xargs -r go tool gofumpt -l); \
 	if [ -n "$$files" ]; then echo "not formatted by gofumpt:"; echo "$$files"; exit 1; fi
 
+tidy:
+	go mod tidy -diff
+
 lint:
 	go tool revive -config revive.toml -set_exit_status ./...
 
@@ -47,3 +50,11 @@
 			go test "./$$package" -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) || exit 1; \
 		done; \
 	done
+
+# Plays the seeds that have failed, then fresh ones, with real processes.
+SOAK_SEEDS = 10
+
+soak:
+	go run ./soak --failed soak/regressions.txt
+	go run ./soak --seeds $(SOAK_SEEDS)
+	go run ./soak --seeds $(SOAK_SEEDS) --planned
--- a/soak/main.go
+++ b/soak/main.go
@@ -21,15 +21,14 @@
 	Seeds   int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
 	Nodes   int           `long:"nodes" default:"8" description:"number of nodes, 240 at most"`
 	Callers int           `long:"callers" default:"3" description:"callers of each node"`
-	For     time.Duration `long:"for" default:"15s" description:"time of trouble; 12 s of calm follow"`
+	For     time.Duration `long:"for" default:"15s" description:"time of trouble"`
 	Bin     string        `long:"bin" description:"folder of built programs, in place of building them"`
+	Calm    time.Duration `long:"calm" default:"12s" description:"time of calm after the trouble, by the end of which everything has to work"`
+	Failed  string        `long:"failed" value-name:"FILE" description:"play the seeds in a file of those that have failed, with their options"`
 	Planned bool          `long:"planned" description:"planned work only"`
 	Keep    string        `long:"keep" default:"soak-failures" description:"folder for the logs of seeds that fail"`
 }
 
-// calmTime follows the trouble: by its end everything has to work.
-const calmTime = 12 * time.Second
-
 // readyTime is how long nodes may take to say that they are ready, on a machine that is busy.
 const readyTime = 3 * time.Second
 
@@ -68,6 +67,24 @@
 			return 0, err
 		}
 	}
+	all := []options{o}
+	if o.Failed != "" {
+		if all, err = regressions(o.Failed, o); err != nil {
+			return 0, err
+		}
+	}
+	for _, one := range all {
+		n, err := playSeeds(one)
+		failed += n
+		if err != nil {
+			return failed, err
+		}
+	}
+	return failed, nil
+}
+
+// playSeeds plays seeds of the same options.
+func playSeeds(o options) (failed int, err error) {
 	for i := range o.Seeds {
 		seed := o.Seed + uint64(i)
 		failures, summary, err := play(o, seed)
@@ -110,9 +127,9 @@
 	trouble, done := context.WithTimeout(stop, o.For)
 	s.run(trouble)
 	done()
-	time.Sleep(calmTime)
+	time.Sleep(o.Calm)
 	if err := rig.Until(readyTime, w.allReady); err != nil {
-		w.checks.fail("after %v of calm: %v", calmTime, err)
+		w.checks.fail("after %v of calm: %v", o.Calm, err)
 	}
 	cancel()
 	for _, c := range all {
