--- a/soak/checks.go
+++ b/soak/checks.go
@@ -85,13 +85,15 @@
 	}
 }
 
-// unanswered checks a request whose connection ended without an answer, though it was sent whole so long before.
-func (c *checks) unanswered(attempt string, begun time.Time, err error) {
+// unanswered checks a request whose connection ended without an answer. It was sent whole at a time; one that a server
+// has seen must be answered, and one that was not read must be cut soon.
+func (c *checks) unanswered(attempt string, sent time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts["unanswered"]++
-	if time.Since(begun) > lossSlack && begun.Sub(c.harmed) > stability && time.Since(c.harmed) > stability {
-		c.failLocked("request %s got no answer around planned work only, after %v: %v", attempt, time.Since(begun), err)
+	owed := c.runs[attempt] > 0 || time.Since(sent) > lossSlack
+	if owed && sent.Sub(c.harmed) > stability {
+		c.failLocked("request %s, run %d times, got no answer around planned work only, after %v: %v", attempt, c.runs[attempt], time.Since(sent), err)
 	}
 }
 
