--- /dev/null
+++ b/node/sidecarthread.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/routing"
+)
+
+func (n *Sidecar) post(e message.Event) { n.queue.post(e) }
+
+// handle takes one event on the control thread.
+func (n *Sidecar) handle(e message.Event) {
+	for _, a := range n.decide(e) {
+		n.execute(a)
+	}
+	if self := n.core.Self().Key(); self != n.self {
+		n.self = self
+		n.log.Info().Str("kind", "renamed").Uint64("incarnation", uint64(self.Incarnation())).Msg("address was used before, took a greater incarnation")
+		n.peers.rename(self)
+		n.ingress.Rename(self)
+	}
+	n.publish()
+}
+
+func (n *Sidecar) decide(e message.Event) []message.Action {
+	now := n.clock.Now()
+	switch e := e.(type) {
+	case message.Ticked:
+		return n.core.Tick(now)
+	case message.Envelope:
+		return n.core.Receive(now, e)
+	case message.LogPage:
+		return n.core.LogPage(now, e)
+	case message.LogAppended:
+		return n.core.LogAppended(now, e)
+	case message.DocumentPage:
+		return n.core.DocumentPage(now, e)
+	case message.ServerAnnounced:
+		return n.core.SetServer(now, e.Server())
+	case message.LeaveAsked:
+		return n.core.Leave(now)
+	case message.Asked:
+		e.Ask()
+	}
+	return nil
+}
+
+// execute carries out an action of the control thread. It does not block.
+func (n *Sidecar) execute(a message.Action) {
+	switch a := a.(type) {
+	case message.Send:
+		n.peers.send(a)
+	case message.ReadLog:
+		n.logs.read(a)
+	case message.AppendLog:
+		n.logs.append(a)
+	case message.ReadDocument:
+		n.documents.read(a)
+	}
+}
+
+// publish hands the newest snapshot to traffic.
+func (n *Sidecar) publish() {
+	held, s := n.snapshot.Load(), n.core.Snapshot()
+	if n.core.Joined() {
+		n.fleeted.Store(true)
+	}
+	if s == nil || s == held {
+		return
+	}
+	n.snapshot.Store(s)
+	if held == nil || held.Table() != s.Table() {
+		n.log.Info().Str("kind", "routes_changed").Uint64("version", uint64(s.Table().Version())).Uint64("before", versionOf(held)).
+			Dur("proof_age", n.clock.Now().Sub(n.core.Feed().Proven())).Msg("new routes are in force")
+	}
+	if held == nil || len(held.View().Members()) != len(s.View().Members()) {
+		n.log.Info().Str("kind", "members_changed").Int("members", len(s.View().Members())).Msg("members of the fleet changed")
+	}
+}
+
+func versionOf(s *routing.Snapshot) uint64 {
+	if s == nil {
+		return 0
+	}
+	return uint64(s.Table().Version())
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -189,8 +189,12 @@
 func (s *schedule) harmStore() {
 	span := s.span(300*time.Millisecond, 4*time.Second)
 	pairs := [][2]string{
-		{"outage?kind=refuse", "outage?kind=off"}, {"outage?kind=drop", "outage?kind=off"}, {"outage?kind=hang", "outage?kind=off"},
-		{"slow?delay=300ms", "slow?delay=0s"}, {"lose-acks?count=3", "lose-acks?count=0"}, {"trim?stream=keyed.op&before=1000000", "slow?delay=0s"},
+		{"outage?kind=refuse", "outage?kind=off"},
+		{"outage?kind=drop", "outage?kind=off"},
+		{"outage?kind=hang", "outage?kind=off"},
+		{"slow?delay=300ms", "slow?delay=0s"},
+		{"lose-acks?count=3", "lose-acks?count=0"},
+		{"trim?stream=keyed.op&before=1000000", "slow?delay=0s"},
 	}
 	pair := pairs[s.rnd.IntN(len(pairs))]
 	if !s.claim(store) {
