--- a/exchange/server.go
+++ b/exchange/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -48,7 +49,7 @@
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
-				if ctx.Err() != nil || !retryAccept(err) {
+				if !s.pause(ctx, err) {
 					return
 				}
 				continue
@@ -62,15 +63,20 @@
 // acceptPause is the pause after a failed accept, as when descriptors are short.
 const acceptPause = 20 * time.Millisecond
 
-// retryAccept tells whether a listener may accept again, after a short pause.
-func retryAccept(err error) bool {
-	if ne, ok := err.(net.Error); ok && !ne.Timeout() {
-		if op, ok := err.(*net.OpError); ok && op.Err == net.ErrClosed {
-			return false
-		}
+// pause waits after a failed accept, and tells whether the listener may accept again.
+func (s *Server) pause(ctx context.Context, err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	over := make(chan struct{})
+	wait := s.settings.Timers.After(acceptPause, func(time.Time) { close(over) })
+	defer wait.Close()
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	time.Sleep(acceptPause)
-	return true
 }
 
 // ServeConn serves one connection until it ends or the context does.
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -81,7 +81,7 @@
 	n.startTraffic(self, s)
 	n.startControl(self, s, sockets)
 	n.startPorts(s, sockets)
-	n.log.Info().Str("kind", "started").Str("vm", s.Name()).Stringer("peer", s.Peer()).Str("service", s.Service()).
+	n.log.Info().Str("kind", "started").Stringer("peer", s.Peer()).Str("service", s.Service()).
 		Str("region", string(s.Place().Region())).Str("failure_domain", string(s.Place().FailureDomain())).Bool("first_start", s.FirstStart()).Msg("node started")
 	return n, nil
 }
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -82,9 +82,16 @@
 // Seal refuses every further request, as the process is about to end.
 func (in *Ingress) Seal() { in.stopping.Store(&stop{ends: in.settings.Timers.Now()}) }
 
+func (in *Ingress) self() member.Key {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.settings.Self
+}
+
 // Handle answers one request of a caller.
 func (in *Ingress) Handle(ctx context.Context, r *exchange.Request) *exchange.Response {
 	ask := platform.TakeAsk(r.Header())
+	r.Header().Del(headerCall) // only nodes may set it
 	answer, request := in.handle(ctx, ask, r)
 	platform.SetAttempt(answer.Header(), ask.Attempt())
 	in.count(request, answer)
@@ -258,7 +265,7 @@
 	c := q.call(now, in.settings.Service())
 	r := exchange.NewRequest(q.ask.Method(), q.ask.Target(), q.ask.Host(), q.ask.Header().Clone(), q.ask.Body())
 	var result Result
-	if to.Key().Peer() == in.settings.Self.Peer() {
+	if to.Key().Peer() == in.self().Peer() {
 		result = in.settings.Owner.Serve(ctx, c, r)
 	} else {
 		result = in.forward(ctx, c, r, to.Key().Peer())
