--- a/fleet/sidecar_test.go
+++ b/fleet/sidecar_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,31 @@
 		qt.Check(t, took <= meetLimit, qt.IsTrue, qt.Commentf("seed %d, down for %d00 ms: %v", seed, 2*seed, took))
 	}
 }
+
+// BenchmarkSidecars measures the membership of sidecar fleets: the time in which all nodes that start at once meet, and
+// the bytes that one node sends and that cross between the regions at rest.
+func BenchmarkSidecars(b *testing.B) {
+	for _, size := range []int{12, 80, 580} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				w := newSidecars(b, 1, size)
+				met := w.runUntil(time.Minute, w.converged)
+				w.run(5 * time.Second)
+				w.resetBytes()
+				const span = 10 * time.Second
+				w.run(span)
+				sent, most := 0, 0
+				for _, n := range w.nodes {
+					sent += n.sent
+					most = max(most, n.sent)
+				}
+				b.ReportMetric(float64(met.Milliseconds()), "ms-met")
+				b.ReportMetric(float64(sent)/span.Seconds()/float64(size), "B/s/node")
+				b.ReportMetric(float64(most)/span.Seconds(), "B/s-max")
+				b.ReportMetric(float64(w.crossed)/span.Seconds(), "B/s-across")
+				b.ReportMetric(0, "ns/op")
+				qt.Check(b, float64(most)/span.Seconds() <= 21_000, qt.IsTrue, qt.Commentf("the bound of letter 1"))
+			}
+		})
+	}
+}
