--- a/fleet/sidecar.go
+++ b/fleet/sidecar.go
@@ -10,29 +10,32 @@
 const rendezvousRenewals = 4
 
 // ForSidecars returns the settings of the fleet of that name, whose store keeps entries for keep. hints may be out of
-// date. Periods are shorter than the defaults, as callers wait for a second or two only. Entries of the rendezvous stream are renewed well within the time for which the store keeps them, so that nodes which
-// all start at once find each other in it.
+// date. Callers wait for a second or two, so a node that is gone has to be noticed within about two: that gives the periods of
+// probing. Entries of the rendezvous stream are renewed well within the time for which the store keeps them, so that nodes
+// which all start at once find each other in it.
 func ForSidecars(name string, hints []netip.AddrPort, keep time.Duration) Settings {
 	renewal := min(keep/rendezvousRenewals, DefaultRendezvousAge)
 	return Settings{
-		Fleet:             name,
-		Hints:             hints,
-		ProbePeriod:       500 * time.Millisecond,
-		AckTimeout:        150 * time.Millisecond,
-		SuspectTimeout:    1200 * time.Millisecond,
-		GossipPeriod:      100 * time.Millisecond,
-		GatewayPeriod:     500 * time.Millisecond,
-		RegionLost:        3 * time.Second,
-		SyncSettle:        time.Second,
-		JoinRetry:         100 * time.Millisecond,
+		Fleet:          name,
+		Hints:          hints,
+		ProbePeriod:    500 * time.Millisecond,  // with SuspectTimeout, gone nodes are dropped in about two seconds
+		AckTimeout:     150 * time.Millisecond,  // above the 100 ms for which a VM may be out of processor time
+		SuspectTimeout: 1200 * time.Millisecond, // two probes by others
+		GossipPeriod:   100 * time.Millisecond,  // each tick: servers that leave are known in some hundred ms
+		GatewayPeriod:  500 * time.Millisecond,  // the other region's news may be that much older
+		RegionLost:     3 * time.Second,         // six probes between regions
+		SyncSettle:     time.Second,             // gossip has ended by then
+		JoinRetry:      100 * time.Millisecond,  // a lost datagram delays a start by that
+
+		// Starting nodes know each other within formationLimit of the tests.
 		RendezvousStart:   50 * time.Millisecond,
 		RendezvousSpread:  200 * time.Millisecond,
 		RendezvousRetry:   250 * time.Millisecond,
 		RendezvousGrace:   1500 * time.Millisecond,
-		RendezvousBackoff: time.Second,
+		RendezvousBackoff: time.Second, // a store that is back is used within about two seconds
 		RendezvousRead:    renewal,
 		RendezvousAge:     renewal,
 		RendezvousEager:   true,
-		RendezvousTail:    1024,
+		RendezvousTail:    1024, // above the nodes that may start within one retention
 	}
 }
