proxy: don't hold a caller's lack of time against the server

Cause (read in the code): a call refused because too little time was left counted as a failure of its server, and three in a row passed a sound server over for a second. TestOutcomeForTheChoiceOfServers failed before.

--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -316,7 +316,7 @@
 	switch {
 	case r.ending == EndingAnswered && r.answer.Status() < http.StatusInternalServerError:
 		return balance.ResultAnswered
-	case r.reason == ReasonLeft:
+	case r.reason == ReasonLeft, r.reason == ReasonLate && r.ending == EndingNotRun:
 		return balance.ResultNone
 	case r.reason == ReasonDraining, r.reason == ReasonNoServer, r.reason == ReasonOtherServer:
 		return balance.ResultDraining
