proxy: keep a queued request with its service

Meanwhile the VM's server ended and one of another service got the address; the node sent the request to it under that server's ID. A call names its service now, which is checked when it comes and again when it gets its slot. TestQueuedRequestStaysWithItsService failed before.

--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -21,6 +21,7 @@
 // Call is what the node beside a server has to know of a request.
 type Call struct {
 	attempt string
+	service string // whose server may run it
 	caller  string // service of the VM on which the request began
 	kind    routing.Kind
 	urgency int           // rank of the route, 0 being the most urgent
@@ -31,11 +32,11 @@
 // Attempt returns the ID of the request.
 func (c Call) Attempt() string { return c.attempt }
 
-const callFields = 6
+const callFields = 7
 
 func encodeCall(c Call) string {
 	return strings.Join([]string{
-		url.QueryEscape(c.attempt), url.QueryEscape(c.caller), strconv.Itoa(int(c.kind)), strconv.Itoa(c.urgency),
+		url.QueryEscape(c.attempt), url.QueryEscape(c.service), url.QueryEscape(c.caller), strconv.Itoa(int(c.kind)), strconv.Itoa(c.urgency),
 		strconv.FormatInt(c.left.Milliseconds(), 10), strconv.FormatInt(c.target.Milliseconds(), 10),
 	}, " ")
 }
@@ -48,16 +49,17 @@
 		return Call{}, errCall
 	}
 	attempt, err1 := url.QueryUnescape(fields[0])
-	caller, err2 := url.QueryUnescape(fields[1])
-	kind, err3 := strconv.ParseUint(fields[2], 10, 8)
-	urgency, err4 := strconv.Atoi(fields[3])
-	left, err5 := strconv.ParseInt(fields[4], 10, 64)
-	target, err6 := strconv.ParseInt(fields[5], 10, 64)
-	if err := errors.Join(err1, err2, err3, err4, err5, err6); err != nil {
+	service, err2 := url.QueryUnescape(fields[1])
+	caller, err3 := url.QueryUnescape(fields[2])
+	kind, err4 := strconv.ParseUint(fields[3], 10, 8)
+	urgency, err5 := strconv.Atoi(fields[4])
+	left, err6 := strconv.ParseInt(fields[5], 10, 64)
+	target, err7 := strconv.ParseInt(fields[6], 10, 64)
+	if err := errors.Join(err1, err2, err3, err4, err5, err6, err7); err != nil {
 		return Call{}, errors.Join(errCall, err)
 	}
 	return Call{
-		attempt: attempt, caller: caller, kind: routing.Kind(kind), urgency: urgency,
+		attempt: attempt, service: service, caller: caller, kind: routing.Kind(kind), urgency: urgency,
 		left: time.Duration(left) * time.Millisecond, target: time.Duration(target) * time.Millisecond,
 	}, nil
 }
--- /dev/null
+++ b/proxy/hop_test.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/balance"
+	"github.com/bambooknot/bambooknot/routing"
+)
+
+func TestCallSurvivesTheHop(t *testing.T) {
+	c := Call{
+		attempt: "a b/%1", service: "orders & more", caller: "", kind: routing.KindSafe, urgency: 3,
+		left: 1200 * time.Millisecond, target: -5 * time.Millisecond,
+	}
+	got, err := decodeCall(encodeCall(c))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, c)
+	for _, line := range []string{"", "a", "a s c x 1 2 3", "a s c 1 1 2", "a s c 1 1 2 3 4", "%zz s c 1 1 2 3"} {
+		_, err := decodeCall(line)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", line))
+	}
+}
+
+func TestResultSurvivesTheHop(t *testing.T) {
+	r := Result{ending: EndingNotRun, reason: ReasonFull, retryAfter: 250 * time.Millisecond, load: balance.NewLoad(3, 4), arrived: true}
+	got, err := decodeResult(encodeResult("a 1", r))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, r)
+	for _, line := range []string{"", "a 1 full", "a x full 1 2 3 true", "a 1 full 1 2 3 maybe"} {
+		_, err := decodeResult(line)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", line))
+	}
+}
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -148,7 +148,7 @@
 // call returns what the node beside a server has to know.
 func (q *request) call(now time.Time, caller string) Call {
 	return Call{
-		attempt: q.attempt, caller: caller, kind: q.route.Kind(), urgency: q.route.Priority(),
+		attempt: q.attempt, service: q.service, caller: caller, kind: q.route.Kind(), urgency: q.route.Priority(),
 		left: q.deadline().Sub(now), target: q.begun.Add(q.route.Target()).Sub(now),
 	}
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -104,6 +104,12 @@
 	return *b, true
 }
 
+// Queued returns the number of requests that wait for a slot.
+func (o *Owner) Queued() int {
+	_, queued := o.gate.Load()
+	return queued
+}
+
 // Stop begins a planned end: the process ends at ends at the latest.
 func (o *Owner) Stop(ends time.Time) {
 	o.stopping.Store(&stop{begun: o.settings.Timers.Now(), ends: ends})
@@ -112,12 +118,15 @@
 // Seal refuses every further request, as the process is about to end.
 func (o *Owner) Seal() { o.stopping.Store(&stop{ends: o.settings.Timers.Now()}) }
 
-// ready returns the server if it takes new work.
-func (o *Owner) ready() (Backend, Reason, bool) {
+// ready returns the server if it takes new work of a service. Another service may have got the VM since the caller's
+// node chose it.
+func (o *Owner) ready(service string) (Backend, Reason, bool) {
 	b, ok := o.Backend()
 	switch {
 	case !ok || b.server.State() == member.ServerNone:
 		return b, ReasonNoServer, false
+	case b.server.Service() != service:
+		return b, ReasonOtherServer, false
 	case b.server.State() == member.ServerDraining:
 		return b, ReasonDraining, false
 	}
@@ -151,7 +160,7 @@
 }
 
 func (o *Owner) serve(ctx context.Context, c Call, r *exchange.Request, start time.Time) Result {
-	if _, reason, ok := o.ready(); !ok {
+	if _, reason, ok := o.ready(c.service); !ok {
 		return notRun(reason)
 	}
 	if s := o.stopping.Load(); s != nil && !s.admits(start, c.left) {
@@ -188,7 +197,7 @@
 
 // run sends a request that holds a slot.
 func (o *Owner) run(ctx context.Context, c Call, r *exchange.Request, deadline time.Time) Result {
-	b, reason, ok := o.ready()
+	b, reason, ok := o.ready(c.service)
 	if !ok {
 		return notRun(reason)
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -147,6 +147,40 @@
 	c.Assert(f.backends[1].total(), qt.Equals, 0)
 }
 
+// TestQueuedRequestStaysWithItsService: while a request waits for a slot, its server goes and one of another service gets
+// the VM.
+func TestQueuedRequestStaysWithItsService(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, 1, tally.NoopScope)
+	entered, release := make(chan struct{}, slots), make(chan struct{})
+	b := f.backends[0]
+	b.behave(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-release
+		b.answer(w, r)
+	})
+	answers := make(chan int, slots+1)
+	for i := range slots {
+		go func() { answers <- f.ask(t.Context(), http.MethodPost, "/pay/1", fmt.Sprint("r", i)).Status() }()
+	}
+	for range slots {
+		<-entered
+	}
+	go func() { answers <- f.ask(t.Context(), http.MethodPost, "/pay/1", "queued").Status() }()
+	for f.owners[0].Queued() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	other := newBackend(t, "other")
+	f.owners[0].SetBackend(proxy.NewBackend("other", other.address(), member.NewServer("stock", member.ServerReady, slots)))
+	close(release)
+	counts := make(map[int]int)
+	for range slots + 1 {
+		counts[<-answers]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[int]int{http.StatusOK: slots, http.StatusServiceUnavailable: 1})
+	c.Assert(other.total(), qt.Equals, 0)
+}
+
 func TestUnreachableServer(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, 2, tally.NoopScope)
