retry: leave room for the calls of repeated runs

Calls made by a repeated run count as repeats at the service they go to, and came on top of that service's own. Nodes spend three tenths of what is permitted now, in place of half. TestCallsOfRepeatedRunsKeepWithinTheWindow fails with a half.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -92,8 +92,6 @@
 	peerIdleTimeout = 30 * time.Second
 	peerIdle        = 64
 	maxPeerAnswer   = 64 << 20 // bytes
-	// retryCaution is the share of the fleet's permitted retries that nodes spend: members die and windows slide.
-	retryCaution = 0.5
 	// farCooling is how long a refusal by the other region is believed. Each further try costs the caller 40 ms and
 	// bytes over the billed link, and a region that is full stays so for longer than a server.
 	farCooling = 500 * time.Millisecond
@@ -114,7 +112,7 @@
 		Owner:    n.owner,
 		Dial:     exchange.PoolSettings{Dial: dialer.Calls, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, Idle: peerIdle, BodyBytes: maxPeerAnswer},
 		Retry: retry.WindowSettings{
-			Span: s.Retries().Window(), Share: s.Retries().Share() * retryCaution, Reserve: float64(s.Retries().Reserve()) * retryCaution,
+			Span: s.Retries().Window(), Share: s.Retries().Share() * retry.FleetCaution, Reserve: float64(s.Retries().Reserve()) * retry.FleetCaution,
 		},
 		Balance: balance.Settings{SlowStart: coldTime, FarCooling: farCooling},
 		Timers:  n.clock,
--- a/retry/window.go
+++ b/retry/window.go
@@ -5,6 +5,12 @@
 // windowSlices is the number of parts into which a window is divided.
 const windowSlices = 10
 
+// FleetCaution is the share of a permitted limit that windows may be set to. Calls that a repeated run makes count as
+// repeats at the service called, so a service has to bear its own repeats and those of the services that call it: with Q
+// requests, a share s and a reserve R it gets up to c(sQ + R) of its own and kc(sP + R) by k calls from each of P requests,
+// which with kP <= Q and k <= 2 is below c(2sQ + 3R). Below one third of that, the rest is for nodes that restart and forget.
+const FleetCaution = 0.3
+
 // WindowSettings of a Window.
 type WindowSettings struct {
 	// Span is the length of the window.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -76,3 +76,51 @@
 	c.Assert(w.Take(later, 2), qt.IsTrue)
 	c.Assert(w.Take(later, 2), qt.IsFalse)
 }
+
+// TestCallsOfRepeatedRunsKeepWithinTheWindow has all nodes repeat as often as they may at a service whose runs each make
+// two calls to another one, which is failing too: there the calls of repeated runs and the repeats of calls together must
+// keep to the limit.
+func TestCallsOfRepeatedRunsKeepWithinTheWindow(t *testing.T) {
+	const (
+		nodes   = 12
+		calls   = 2
+		span    = 10 * time.Second
+		share   = 0.2
+		reserve = 60
+		step    = 20 * time.Millisecond
+		steps   = 2000
+	)
+	settings := retry.WindowSettings{Span: span, Share: share * retry.FleetCaution, Reserve: reserve * retry.FleetCaution}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var parents, children [nodes]*retry.Window
+	for n := range nodes {
+		parents[n], children[n] = retry.NewWindow(settings), retry.NewWindow(settings)
+	}
+	var requests, repeats [steps]int
+	for i := range steps {
+		now := time.Unix(1000, 0).Add(time.Duration(i) * step)
+		for n := range nodes {
+			runs := 0
+			if rnd.IntN(3) == 0 {
+				parents[n].First(now)
+				runs++
+				requests[i] += calls // those of repeated runs don't count
+			}
+			for runs > 0 && parents[n].Take(now, nodes) {
+				runs++
+				repeats[i] += calls
+			}
+			for range calls * runs {
+				children[n].First(now)
+				if children[n].Take(now, nodes) {
+					repeats[i]++
+				}
+			}
+		}
+	}
+	slots := int(span / step)
+	for i := slots; i < steps; i++ {
+		q, r := before(requests[:], i, slots), before(repeats[:], i, slots)
+		qt.Assert(t, float64(r) <= share*float64(q)+reserve, qt.IsTrue, qt.Commentf("%d repeats for %d requests up to step %d", r, q, i))
+	}
+}
