node, control, admission: one wait for both daemons, dead code removed

Sidecar.pause and Node.wait were the same function. A method that nobody called and a field of a test go, and the comment on the stretch's margin says what the factor multiplies.

--- a/admission/stretch.go
+++ b/admission/stretch.go
@@ -10,7 +10,7 @@
 	stretchWeight   = 1.0 / 8         // of one sample
 	stretchHalfLife = 2 * time.Second // in which it fades towards 1 while nobody is seen to wait
 	maxStretch      = 16
-	stretchMargin   = 1.6                  // by which a wait must be expected to undercut what is allowed, as waits vary
+	stretchMargin   = 1.6                  // of the excess over 1, as waits vary
 	leastExpected   = 5 * time.Millisecond // shorter waits say nothing
 )
 
--- a/admission/stretch_test.go
+++ b/admission/stretch_test.go
@@ -20,23 +20,19 @@
 	rnd := rand.New(rand.NewPCG(1, 2))
 	m := NewMachine(Settings{Queue: 500, Wait: time.Second}, slots)
 	now := time.Unix(1000, 0)
-	type call struct {
-		priority Priority
-		since    time.Time
-	}
-	calls := make(map[ID]call)
+	priorities := make(map[ID]Priority)
 	var ends []time.Time
 	next := ID(0)
 	refusedAtOnce, refusedLate, answered, urgentRefused := 0, 0, 0, 0
 	settle := func(c Change) {
 		for _, id := range c.Granted() {
 			ends = append(ends, now.Add(running))
-			if calls[id].priority == 0 {
+			if priorities[id] == 0 {
 				answered++
 			}
 		}
 		for _, id := range c.Refused() {
-			if calls[id].priority > 0 {
+			if priorities[id] > 0 {
 				urgentRefused++
 				continue
 			}
@@ -45,7 +41,7 @@
 	}
 	offer := func(p Priority) {
 		next++
-		calls[next] = call{priority: p, since: now}
+		priorities[next] = p
 		d, change := m.Offer(now, next, p, now.Add(patient))
 		settle(change)
 		switch {
--- a/control/sidecar.go
+++ b/control/sidecar.go
@@ -94,8 +94,5 @@
 // Feed returns the distribution of the document, to look at.
 func (c *Sidecar) Feed() *feed.Machine { return c.feed }
 
-// FleetCounts returns the events of the membership counted so far.
-func (c *Sidecar) FleetCounts() fleet.Counts { return c.fleet.Counts() }
-
 // Members returns all members that claims are held of.
 func (c *Sidecar) Members() []member.Member { return c.fleet.Members() }
--- a/node/shutdown.go
+++ b/node/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/timer"
 )
 
 // Drain refuses new work for the backend server as not run, and tells the fleet. It returns at once.
@@ -20,13 +21,13 @@
 // that calls were still in flight at the drain timeout.
 func (n *Node) Shutdown() error {
 	n.Drain()
-	n.wait(hearTime)
+	wait(n.clock, hearTime)
 	err := n.callers.drain(n.settings.Node().DrainTimeout())
 	n.ingress.Close()
 	n.owner.Close()
 	n.handOver()
 	n.queue.post(message.LeaveAsked{})
-	n.wait(leaveTime)
+	wait(n.clock, leaveTime)
 	n.Close()
 	return err
 }
@@ -40,9 +41,10 @@
 	n.log.Info().Int("copies", copies).Err(err).Msg("handed the ledger over")
 }
 
-func (n *Node) wait(d time.Duration) {
+// wait returns after a time.
+func wait(clock *timer.Service, d time.Duration) {
 	over := make(chan struct{})
-	sub := n.clock.After(d, func(time.Time) { close(over) })
+	sub := clock.After(d, func(time.Time) { close(over) })
 	<-over
 	sub.Close()
 }
--- a/node/sidecarstop.go
+++ b/node/sidecarstop.go
@@ -32,7 +32,7 @@
 	last := begun.Add(n.settings.Load().Grace() - killSlack)
 	n.ingress.Stop(last)
 	n.owner.Stop(last)
-	n.pause(noticeTime)
+	wait(n.clock, noticeTime)
 	n.callers.Drain()
 	n.inner.Drain()
 	n.awaitQuiet(last, quietTime)
@@ -41,7 +41,7 @@
 	n.awaitQuiet(last, 0) // a request may have arrived just before
 	cut = n.callers.Active()
 	n.queue.post(message.LeaveAsked{})
-	n.pause(leaveTime / 3)
+	wait(n.clock, leaveTime/3)
 	n.log.Info().Str("kind", "stopped").Int("cut", cut).Dur("took", n.clock.Now().Sub(begun)).Msg("node stopped")
 	n.Close()
 	return cut
@@ -56,13 +56,6 @@
 		} else if now.Sub(since) >= quiet {
 			return
 		}
-		n.pause(drainPoll)
+		wait(n.clock, drainPoll)
 	}
 }
-
-func (n *Sidecar) pause(d time.Duration) {
-	over := make(chan struct{})
-	sub := n.clock.After(d, func(time.Time) { close(over) })
-	<-over
-	sub.Close()
-}
