routing: split the requests of a route by weight with an evenly filling sequence

Cause: each request drew its service independently. Over 300 requests of the fleet, a share is then off by 0.03 on average and now and then by more than 0.1; a node that receives few requests misses a small share by half of it. Change: a sequence per route and node with a random start. Tests: TestNodeKeepsSmallShares and TestChangedWeightsApplyToNextRequests fail with independent draws; TestFleetKeepsWeights counts parts at 12 and 300 nodes; TestPartWithoutServersKeepsItsShare shows that a part without servers, or one that sheds, neither passes its share on nor loses it.

--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -48,7 +48,7 @@
 	mu           sync.Mutex
 	balancer     *balance.Machine
 	retryBudgets map[string]*retry.WindowBudget
-	rnd          *rand.Rand
+	splitter     *routing.Splitter
 	maxNodes     int // greatest number of members in any view so far
 	lastView     *member.View
 }
@@ -63,7 +63,7 @@
 		latency:       s.Scope.Histogram("request_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 		balancer:      balance.New(s.Balance, s.Self, s.Place, s.Rand),
 		retryBudgets:  make(map[string]*retry.WindowBudget),
-		rnd:           s.Rand,
+		splitter:      routing.NewSplitter(s.Rand),
 	}
 }
 
@@ -115,7 +115,7 @@
 		return in.giveUp(q, result), q
 	}
 	in.mu.Lock()
-	q.service = route.ChooseService(in.rnd.Float64())
+	q.service = in.splitter.Choose(route)
 	in.retryBudget(q.service).RecordFirstAttempt(in.settings.Timers.Now())
 	in.mu.Unlock()
 	return in.finish(q, in.attempt(ctx, q)), q
