proxy, retry: recognise callers' retries; late ones yield to requests that can be answered in time

Change: a node remembers what failed by what it asks for; the target of a retry counts from the first attempt; late requests come after the others of their route priority in the queue.

--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -49,7 +49,8 @@
 	balancer     *balance.Machine
 	retryBudgets map[string]*retry.WindowBudget
 	splitter     *routing.Splitter
-	maxNodes     int // greatest number of members in any view so far
+	retries      *retry.Tracker // of callers
+	maxNodes     int            // greatest number of members in any view so far
 	lastView     *member.View
 }
 
@@ -64,6 +65,7 @@
 		balancer:      balance.New(s.Balance, s.Self, s.Place, s.Rand),
 		retryBudgets:  make(map[string]*retry.WindowBudget),
 		splitter:      routing.NewSplitter(s.Rand),
+		retries:       retry.NewTracker(),
 	}
 }
 
@@ -86,12 +88,13 @@
 	r.Header().Del(headerCall) // only nodes may set it
 	response, request := in.handle(ctx, info, r)
 	platform.SetAttemptID(response.Header(), info.AttemptID())
+	in.trackFailure(request, response)
 	in.recordRequest(request, response)
 	return response
 }
 
 func (in *Ingress) handle(ctx context.Context, info platform.RequestInfo, r *exchange.Request) (*exchange.Response, *request) {
-	q := &request{id: info.AttemptID(), original: r, receivedAt: r.ReceivedAt()}
+	q := &request{id: info.AttemptID(), original: r, receivedAt: r.ReceivedAt(), firstReceivedAt: r.ReceivedAt()}
 	if q.id == "" {
 		return in.refuse(q, http.StatusBadRequest, "no_id"), q
 	}
@@ -105,10 +108,11 @@
 		return in.refuse(q, http.StatusNotFound, "no_route"), q
 	}
 	q.route = route
-	q.timeout = route.Timeout()
+	q.timeout, q.callerTimeout = route.Timeout(), route.Timeout()
 	if timeout, stated := info.Timeout(); stated {
-		q.timeout = min(q.timeout, timeout)
+		q.timeout, q.callerTimeout = min(q.timeout, timeout), timeout
 	}
+	in.matchRetry(q)
 	if s, now := in.plannedShutdown.Load(), in.settings.Timers.Now(); s != nil && !s.admits(now, q.timeout) {
 		result := notRun(ReasonStopping)
 		result.retryAfter = s.retryAfter(now)
@@ -126,10 +130,12 @@
 	id                  string // attempt ID that the caller sent
 	original            *exchange.Request
 	receivedAt          time.Time
+	firstReceivedAt     time.Time // of the caller's first attempt; before receivedAt if this is a retry
 	snapshot            *routing.Snapshot
 	route               routing.Route
 	service             string
 	timeout             time.Duration // from receipt to deadline
+	callerTimeout       time.Duration // from receipt until the caller stops waiting and retrying
 	tried               []member.Key  // nodes asked so far
 	serverAttempts      int           // attempts that may have reached a server
 	lastAttemptTime     time.Duration // duration of the last of these
@@ -142,7 +148,7 @@
 func (q *request) call(now time.Time, caller string) Call {
 	return Call{
 		requestID: q.id, service: q.service, caller: caller, kind: q.route.Kind(), priority: q.route.Priority(),
-		timeLeft: q.deadline().Sub(now), timeToTarget: q.receivedAt.Add(q.route.TargetLatency()).Sub(now),
+		timeLeft: q.deadline().Sub(now), timeToTarget: q.firstReceivedAt.Add(q.route.TargetLatency()).Sub(now),
 	}
 }
 
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -54,8 +54,10 @@
 	owners     []*loadOwner
 	balancers  []*balance.Machine
 	roundRobin bool // baseline: round robin without limits
+	forgetful  bool // baseline: retries of callers are treated as new requests
 	lastServer int
 	inTime     []float64 // requests answered within the target, by class
+	answered   []float64 // requests answered within the deadline, by class
 	requests   []float64 // by class
 }
 
@@ -80,7 +82,7 @@
 func newLoadSimulation(roundRobin bool, seed uint64) *loadSimulation {
 	s := &loadSimulation{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), roundRobin: roundRobin,
-		inTime: make([]float64, len(loadClasses)), requests: make([]float64, len(loadClasses)),
+		inTime: make([]float64, len(loadClasses)), answered: make([]float64, len(loadClasses)), requests: make([]float64, len(loadClasses)),
 	}
 	places := []member.Place{member.NewPlace("a", "a1"), member.NewPlace("b", "b1"), member.NewPlace("a", "a2"), member.NewPlace("b", "b2")}
 	var members []member.Member
@@ -187,13 +189,17 @@
 	return 20 * time.Millisecond
 }
 
-func (q *loadRequest) call(now time.Time) Call {
+func (s *loadSimulation) call(q *loadRequest) Call {
 	c := loadClasses[q.class]
-	return Call{kind: routing.KindUnsafe, priority: c.priority, timeLeft: q.attemptedAt.Add(c.deadline).Sub(now), timeToTarget: q.attemptedAt.Add(c.target).Sub(now)}
+	firstReceivedAt := q.startedAt
+	if s.forgetful {
+		firstReceivedAt = q.attemptedAt
+	}
+	return Call{kind: routing.KindUnsafe, priority: c.priority, timeLeft: q.startedAt.Add(c.deadline).Sub(s.now), timeToTarget: firstReceivedAt.Add(c.target).Sub(s.now)}
 }
 
 func (s *loadSimulation) offer(q *loadRequest) {
-	o, c := s.owners[q.owner], q.call(s.now)
+	o, c := s.owners[q.owner], s.call(q)
 	latest := latestStart(s.now, c, o.runTimes.upperBound(c))
 	if s.roundRobin {
 		latest = s.now.Add(time.Hour)
@@ -243,7 +249,7 @@
 	work := loadClasses[q.class].runTime.Seconds() * o.slowdown * (0.7 + 0.6*s.rnd.Float64())
 	runTime := time.Duration(work * float64(time.Second))
 	s.after(runTime, func() {
-		o.runTimes.observe(q.call(s.now), runTime)
+		o.runTimes.observe(s.call(q), runTime)
 		s.applyChange(o, o.queue.Release(s.now, runTime))
 		s.deliver(q, answered(exchange.NewResponse(200, nil, nil)))
 	})
@@ -263,12 +269,23 @@
 			return
 		}
 		caller.RecordLatency(key, latency)
-		if q.retries >= 0 && s.now.Sub(q.startedAt) <= loadClasses[q.class].target {
-			s.inTime[q.class]++
-		}
+		s.countAnswer(q)
 	})
 }
 
+func (s *loadSimulation) countAnswer(q *loadRequest) {
+	if q.retries < 0 {
+		return
+	}
+	latency := s.now.Sub(q.startedAt)
+	if latency <= loadClasses[q.class].target {
+		s.inTime[q.class]++
+	}
+	if latency <= loadClasses[q.class].deadline {
+		s.answered[q.class]++
+	}
+}
+
 func (s *loadSimulation) retryElsewhere(q *loadRequest, r Result) {
 	if len(q.tried) == maxNodesTried {
 		s.refuseCaller(q, max(r.retryAfter, minRetryAfter))
@@ -338,3 +355,26 @@
 		qt.Check(t, ours[0] >= ours[1]-0.02 && ours[1] >= ours[2]-0.02, qt.IsTrue, comment)
 	}
 }
+
+// TestReturningCallersYieldUnderOverload simulates load above capacity, in which refused callers come back once. Compared
+// with treating them as new, more callers must get their answer within the target, without fewer getting one at all.
+func TestReturningCallersYieldUnderOverload(t *testing.T) {
+	for _, factor := range []float64{1.1, 1.6} {
+		ours, forgetful := newLoadSimulation(false, 1), newLoadSimulation(false, 1)
+		forgetful.forgetful = true
+		ours.run(factor)
+		forgetful.run(factor)
+		var inTime, answered, requests, forgetfulInTime, forgetfulAnswered float64
+		for class := range loadClasses {
+			inTime += ours.inTime[class]
+			answered += ours.answered[class]
+			requests += ours.requests[class]
+			forgetfulInTime += forgetful.inTime[class]
+			forgetfulAnswered += forgetful.answered[class]
+		}
+		t.Logf("%.1f times the capacity: %.3f in time, %.3f answered; as new requests: %.3f and %.3f", factor,
+			inTime/requests, answered/requests, forgetfulInTime/requests, forgetfulAnswered/requests)
+		qt.Check(t, inTime > forgetfulInTime, qt.IsTrue)
+		qt.Check(t, answered >= 0.99*forgetfulAnswered, qt.IsTrue)
+	}
+}
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -16,9 +16,15 @@
 // maxPriorityRank is the least urgent route priority that the queue distinguishes.
 const maxPriorityRank = 15
 
-// queuePriority maps the priority of a route, of which 0 is the most urgent, to a priority in the queue.
+// queuePriority maps the priority of a route, of which 0 is the most urgent, to a priority in the queue. Under overload,
+// a request whose target latency has passed, such as a caller's second attempt, yields to those of its route priority that
+// can still be answered in time: a slot given to it would make another one late, too.
 func queuePriority(c Call) admission.Priority {
-	return admission.Priority(maxPriorityRank - min(max(c.priority, 0), maxPriorityRank))
+	rank := admission.Priority(maxPriorityRank - min(max(c.priority, 0), maxPriorityRank))
+	if c.timeToTarget <= 0 {
+		return 2 * rank
+	}
+	return 2*rank + 1
 }
 
 // latestStart returns the time by which a request must start to run, given the upper bound of its run time. Under
