proxy: let requests wait for routes and servers while a node starts

Callers come back once, after 250 ms at the earliest. Change: a request waits up to 0.4 s for routes, and in the first 1.5 s of a node for a server of its service.

--- a/node/sidecarcontrol.go
+++ b/node/sidecarcontrol.go
@@ -70,6 +70,7 @@
 		n.viewChangedAt = n.clock.Now()
 	}
 	n.snapshot.Store(s)
+	n.ingress.SnapshotChanged()
 	if current == nil || current.Table() != s.Table() {
 		n.log.Info().Str("kind", "routes_changed").Uint64("version", uint64(s.Table().Version())).Uint64("before", versionOf(current)).
 			Str("source", sourceName(n.core.Feed().Source())).Dur("proof_age", n.clock.Now().Sub(n.core.Feed().ConfirmedAt())).Msg("new routes are in force")
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -42,6 +42,7 @@
 type Ingress struct {
 	shutdownState
 	settings IngressSettings
+	starting startState
 	pool     *exchange.Pool
 	latency  tally.Histogram
 
@@ -60,6 +61,7 @@
 	return &Ingress{
 		shutdownState: shutdownState{timers: s.Timers},
 		settings:      s,
+		starting:      newStartState(s.Timers),
 		pool:          exchange.NewPool(s.Pool),
 		latency:       s.Scope.Histogram("request_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 		balancer:      balance.New(s.Balance, s.Self, s.Place, s.Rand),
@@ -98,7 +100,7 @@
 	if q.id == "" {
 		return in.refuse(q, http.StatusBadRequest, "no_id"), q
 	}
-	q.snapshot = in.settings.Snapshot()
+	q.snapshot = in.awaitRoutes(ctx, q)
 	if q.snapshot == nil {
 		return in.giveUp(q, notRun(ReasonNoRoutes)), q
 	}
@@ -167,6 +169,9 @@
 			return last
 		}
 		to, ok := in.choose(now, q)
+		if !ok && in.awaitView(ctx, q) {
+			continue
+		}
 		if !ok {
 			return last
 		}
