--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -28,8 +28,13 @@
 // settingsPollInterval is the interval of checks for changes of the settings file, which may come without a signal.
 const settingsPollInterval = time.Second
 
-// memoryLimitShare is the memory limit of the Go runtime as a share of the permitted memory.
-const memoryLimitShare = 0.7
+const (
+	// memoryLimitShare is the memory limit of the Go runtime as a share of the permitted memory.
+	memoryLimitShare = 0.7
+	// collectionPercent is the growth of the heap in percent at which the garbage collector runs. The heap of a node is
+	// small, so that frequent collections cost little processor time; memory is billed by its peak.
+	collectionPercent = 30
+)
 
 type sidecarCommand struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file; default is the value of the environment variable BAMBOOKNOT_SETTINGS"`
@@ -49,6 +54,7 @@
 		return FailUsage(env, err)
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryLimit())))
+	debug.SetGCPercent(collectionPercent)
 	clock := timer.New()
 	zerolog.TimeFieldFormat = time.RFC3339Nano // the log lines of several nodes are sorted by it
 	sink := node.NewLogSink(env.Out, clock)
