--- a/feed/delay.go
+++ b/feed/delay.go
@@ -10,12 +10,16 @@
 // 1 and the size of the fleet. It spreads the reads when the whole fleet starts at once: nodes near the store read
 // first, a few early and exponentially more later, so that most other nodes receive the document from one of them
 // before they would read it across the link between the regions.
-func startDelay(nearStore bool, fraction float64, fleetSize int) time.Duration {
+func startDelay(nearStore bool, fraction float64, fleetSize int, firstStart bool) time.Duration {
+	leastSpread := minStartSpread
+	if firstStart {
+		leastSpread = firstStartSpread
+	}
 	perNode := nearStartSpreadPerNode
 	if !nearStore {
 		perNode = farStartSpreadPerNode
 	}
-	spread := max(minStartSpread, time.Duration(fleetSize)*perNode)
+	spread := max(leastSpread, time.Duration(fleetSize)*perNode)
 	const doublings = 6 // in the first sixth of the spread about one node in 64 reads
 	delay := time.Duration(float64(spread) * math.Log2(1+fraction*(1<<doublings-1)) / doublings)
 	if !nearStore {
--- a/feed/reading.go
+++ b/feed/reading.go
@@ -40,11 +40,15 @@
 }
 
 // isReader reports whether the node is one of the readers. A node that holds a document but has not measured the
-// latency of the store counts as one until its first read.
+// latency of the store counts as one until its first read. While the whole fleet starts for the first time, a node that
+// knows no other one does not take itself for the first.
 func (m *Machine) isReader() bool {
 	if m.order.rank >= m.settings.Readers {
 		return false
 	}
+	if m.settings.FirstStart && m.table == nil && len(m.order.others) == 0 {
+		return false
+	}
 	if !m.reader.latencyKnown {
 		return m.table != nil
 	}
@@ -55,7 +59,7 @@
 // long.
 func (m *Machine) readOverdue() bool {
 	if m.table == nil {
-		delay := startDelay(m.reader.nearStore(), m.startFraction, m.estimatedFleetSize())
+		delay := startDelay(m.reader.nearStore(), m.startFraction, m.estimatedFleetSize(), m.settings.FirstStart)
 		if !m.reader.nearStore() && len(m.order.others) == 0 {
 			delay = max(delay, farStartDelayWithoutPeers)
 		}
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -13,6 +13,8 @@
 	Self member.Member
 	// Decode decodes a document. A document for which it returns an error is not applied.
 	Decode func(data []byte) (*routing.Table, error)
+	// FirstStart states that the whole fleet starts for the first time, so that no calls arrive for some seconds.
+	FirstStart bool
 	// Readers is the number of nodes in the store's region that read it regularly.
 	Readers int
 	// LongPollTimeout is how long the store may hold a read open while there is no new document.
@@ -54,6 +56,9 @@
 	// minStartSpread is the time over which the reads of a starting small fleet are spread; the nodes of such a fleet
 	// discover each other within half a second.
 	minStartSpread = 300 * time.Millisecond
+	// firstStartSpread is the least spread while no calls are expected yet and the size of the fleet is not known either:
+	// at 300 nodes, a spread of 0.3 s costs over 400 reads of the store.
+	firstStartSpread = 2 * time.Second
 	// nearStartSpreadPerNode and farStartSpreadPerNode are the spread for each node of a larger fleet, for nodes inside
 	// and outside the store's region. Half of the nodes are outside, where one read of 100 kB occupies a link of
 	// 30 Mbit/s for 27 ms.
--- a/feed/start_test.go
+++ b/feed/start_test.go
@@ -88,3 +88,26 @@
 	}
 	qt.Check(t, retryDelay(maxRetryDoublings, 0), qt.Equals, maxRetryDelay)
 }
+
+// TestFirstStartSpreadsReads starts a fleet of 300 nodes for the first time, before the operator has published anything
+// and before the nodes know each other. Half a second later, when they do, few of them may have read the store.
+func TestFirstStartSpreadsReads(t *testing.T) {
+	const nodes, maxReads = 300, 30
+	start := time.Unix(1000, 0)
+	reads := 0
+	for i := range nodes {
+		addr := netip.AddrFrom4([4]byte{10, byte(i % len(places)), byte(i >> 8), byte(i)})
+		self := member.New(member.NewKey(netip.AddrPortFrom(addr, 7000), 1), places[i%len(places)], record.SchemaNewest)
+		m := New(Settings{Self: self, Decode: decode, FirstStart: true}, rand.New(rand.NewPCG(uint64(i), 1)))
+		m.Tick(start, nil)
+		m.ObserveStore(nearRead, 0)
+		for now := start; now.Before(start.Add(500 * time.Millisecond)); now = now.Add(step) {
+			for _, a := range m.Tick(now, nil) {
+				if _, ok := a.(message.ReadDocument); ok {
+					reads++
+				}
+			}
+		}
+	}
+	qt.Check(t, reads > 0 && reads <= maxReads, qt.IsTrue, qt.Commentf("%d reads", reads))
+}
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -83,7 +83,7 @@
 // startupTick appends the node's address. It also reads the existing entries at once: the store performs appends
 // one after the other, so nodes that start at the same time would otherwise wait for each other's appends.
 func (m *Machine) startupTick() {
-	if !m.rendezvous.startupReadSent {
+	if !m.rendezvous.startupReadSent && !m.settings.RendezvousEmptyAtStart {
 		m.rendezvous.startupReadSent = true
 		m.readTail()
 	}
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -64,6 +64,9 @@
 	// RendezvousAppendAtStart makes every node append its address to the rendezvous stream at its start, before it
 	// relies on what it reads, so that of two nodes that start at the same time one finds the other.
 	RendezvousAppendAtStart bool
+	// RendezvousEmptyAtStart states that no node has used the rendezvous stream before, so that a node that appends its
+	// address at its start need not read first.
+	RendezvousEmptyAtStart bool
 	// RendezvousTailEntries is the number of entries read from the end of the rendezvous stream.
 	RendezvousTailEntries int
 	// JoinRetryInterval is the least time between two attempts to join. A random delay of up to the same length is
--- a/fleet/sidecar_test.go
+++ b/fleet/sidecar_test.go
@@ -149,3 +149,22 @@
 		})
 	}
 }
+
+// TestFirstStartNeedsNoReadBeforeAppend starts a large fleet for the first time, with and without the knowledge that the
+// stream is empty. The store bills each call: with it, nodes must read less. All must know each other well before calls
+// arrive after 8 s.
+func TestFirstStartNeedsNoReadBeforeAppend(t *testing.T) {
+	const size = 295
+	reads := make(map[bool]int)
+	for _, empty := range []bool{false, true} {
+		w := newNetwork(t, 1)
+		w.settings = SidecarSettings(testFleet, nil, storeRetention)
+		w.settings.RendezvousEmptyAtStart = empty
+		w.appendDuration = appendTime
+		w.startAll(size)
+		w.runUntil(4*time.Second, w.converged)
+		qt.Check(t, w.appends, qt.Equals, size)
+		reads[empty] = w.reads
+	}
+	qt.Check(t, reads[true] < reads[false], qt.IsTrue, qt.Commentf("%v", reads))
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -144,10 +144,12 @@
 
 func (n *Sidecar) startControlPlane(self member.Member, s setting.Sidecar, sockets sidecarSockets) {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation())))
+	fleetSettings := fleet.SidecarSettings(sidecarFleet, s.Hints(), s.StoreRetention())
+	fleetSettings.RendezvousEmptyAtStart = s.FirstStart()
 	n.core = control.NewSidecar(control.SidecarSettings{
 		Self:    self,
-		Fleet:   fleet.SidecarSettings(sidecarFleet, s.Hints(), s.StoreRetention()),
-		Feed:    feed.Settings{Self: self, Decode: platform.DecodeTable},
+		Fleet:   fleetSettings,
+		Feed:    feed.Settings{Self: self, Decode: platform.DecodeTable, FirstStart: s.FirstStart()},
 		Trimmed: func(err error) bool { return platform.ClassOf(err) == platform.ClassTrimmed },
 	}, rnd)
 	client := &http.Client{Transport: &http.Transport{DialContext: dialHTTP, MaxIdleConnsPerHost: 2, DisableCompression: true}}
