--- a/proxy/pace.go
+++ b/proxy/pace.go
@@ -10,16 +10,16 @@
 
 // Parameters of a paceMonitor.
 const (
-	overdueRatio      = 2.5       // ratio of elapsed to usual run time from which a running request is overdue
-	minOverdue        = 3         // overdue requests that show that the server has slowed down
-	minOverdueShare   = 0.25      // the same as a share of the running requests
-	maxSlowdown       = 16        // limit of the estimated slowdown
-	usualWeight       = 1.0 / 32  // weight of one sample in the usual run time
-	slowUsualWeight   = 1.0 / 512 // the same for samples that are overdue, so that a slow spell does not become usual
-	slowdownWeight    = 1.0 / 2   // weight of one answer in the slowdown
-	minSlowdown       = 1.5       // smaller slowdowns count as none
-	slowdownHoldTime  = 5 * time.Second
-	firstUsualSamples = 4 // samples without which no run time is usual
+	overdueRatio      = 2.5             // ratio of elapsed to usual run time from which a running request is overdue
+	minOverdue        = 3               // overdue requests that show that the server has slowed down
+	minOverdueShare   = 0.25            // the same as a share of the running requests
+	maxSlowdown       = 16              // limit of the estimated slowdown
+	usualWeight       = 1.0 / 32        // weight of one sample in the usual run time
+	slowUsualWeight   = 1.0 / 512       // the same for samples that are overdue, so that a slow spell does not become usual
+	slowdownWeight    = 1.0 / 2         // weight of one answer in the slowdown
+	minSlowdown       = 1.5             // smaller slowdowns count as none
+	slowdownHoldTime  = 5 * time.Second // time without evidence after which a slowdown ends
+	firstUsualSamples = 4               // samples without which no run time is usual
 )
 
 // paceMonitor estimates by what factor a server is slower than usual. It answers the load of a server that turns slow for
