proxy, platform: log and count the limits that servers state in their answers

The node beside the server logs each change of the limit with the request whose answer stated it, gives it in server_result lines and in the gauge server_limit. The limit is not applied yet.

--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -22,6 +22,7 @@
 // Backend is the backend server on the node's VM.
 type Backend struct {
 	id      string
+	started int64
 	address netip.AddrPort
 	server  member.Server
 }
@@ -31,6 +32,13 @@
 	return Backend{id: id, address: address, server: server}
 }
 
+// WithStarted returns the backend server with the start of its process in Unix milliseconds, 0 if not known. It tells
+// processes that use the same ID apart.
+func (b Backend) WithStarted(unixMilli int64) Backend {
+	b.started = unixMilli
+	return b
+}
+
 // ID returns the ID of the server.
 func (b Backend) ID() string { return b.id }
 
@@ -63,6 +71,7 @@
 	admission     *admission.Controller
 	runTimes      *runTimeEstimator
 	pace          *paceMonitor
+	limit         *serverLimit
 	pool          *exchange.Pool
 	backend       atomic.Pointer[Backend]
 	scope         tally.Scope
@@ -87,9 +96,23 @@
 		serverSeconds: s.Scope.Histogram("server_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 	}
 	o.pace = newPaceMonitor(s.Timers, o.logPace)
+	o.limit = &serverLimit{onChange: o.onLimitChange, onInvalid: o.logInvalidLimit}
 	return o
 }
 
+// onLimitChange handles a change of the limit that the server states.
+func (o *Owner) onLimitChange(change limitChange) {
+	b, _ := o.Backend()
+	o.scope.Gauge("server_limit").Update(change.perSecond)
+	o.settings.Log.Info().Str("kind", "server_limit").Str("server", b.id).Bool("limited", change.limited).Float64("per_second", change.perSecond).
+		Float64("before", change.before).Str("request", change.requestID).Msg("the server changed the limit of requests that it accepts")
+}
+
+func (o *Owner) logInvalidLimit(err error) {
+	b, _ := o.Backend()
+	o.settings.Log.Warn().Str("kind", "server_limit_ignored").Str("server", b.id).Err(err).Msg("ignored the limit in a response of the server")
+}
+
 func (o *Owner) logPace(slowdown float64) {
 	b, _ := o.Backend()
 	o.settings.Log.Info().Str("kind", "server_pace").Str("server", b.id).Float64("slowdown", slowdown).Msg("pace of the server changed")
@@ -98,9 +121,10 @@
 // SetBackend sets the server on the VM. Requests in flight to the previous server continue.
 func (o *Owner) SetBackend(b Backend) {
 	previous := o.backend.Swap(&b)
-	if previous != nil && previous.id != b.id {
+	if previous != nil && (previous.id != b.id || previous.started != b.started) {
 		o.pool.CloseIdle(previous.address)
 		o.pace.reset()
+		o.limit.reset()
 	}
 	o.admission.SetSlots(b.server.Slots())
 }
@@ -228,11 +252,16 @@
 	ctx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
 	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller)
+	number := o.limit.send()
 	response, err := o.pool.Do(ctx, b.address, r, func(h http.Header) bool { return platform.MatchesAttempt(h, c.requestID) })
 	if err != nil {
 		return o.requestFailure(ctx, err)
 	}
-	return o.classifyResponse(b, response)
+	result := o.classifyResponse(b, response)
+	if result.reason == ReasonShed || platform.HasServerSeal(response.Header()) {
+		o.limit.observe(number, c.requestID, response.Header())
+	}
+	return result
 }
 
 // requestFailure returns the result of a request that ended with an error instead of a response.
@@ -278,7 +307,11 @@
 		log, text = &o.settings.AnsweredLog, "request was answered by the server"
 	}
 	b, _ := o.Backend()
-	log.Info().Str("kind", "server_result").Str("request", c.requestID).Str("server", b.id).Stringer("ending", result.outcome).Str("reason", string(result.reason)).
+	event := log.Info()
+	if perSecond, limited := o.limit.current(); limited {
+		event = event.Float64("per_second", perSecond)
+	}
+	event.Str("kind", "server_result").Str("request", c.requestID).Str("server", b.id).Stringer("ending", result.outcome).Str("reason", string(result.reason)).
 		Int("urgency", c.priority).Dur("left", c.timeLeft).Dur("target", c.timeToTarget).Dur("most", o.runTimes.upperBound(c)).
 		Int("running", result.load.Running()).Int("queued", result.load.Queued()).Dur("waited", result.queueTime).Dur("took", latency).Msg(text)
 }
