proxy: test that servers get no more requests than they accept, which fails

Whole nodes run in virtual time, connected by pipes; two of eight servers state a limit in their answers. They go on receiving what they received before: 126 and 146 requests within 4 s, where 53 and 38 are allowed.

--- /dev/null
+++ b/proxy/limitfleet_test.go
@@ -0,0 +1,299 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bambooknot/bambooknot/balance"
+	"github.com/bambooknot/bambooknot/exchange"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/proxy"
+	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/retry"
+	"github.com/bambooknot/bambooknot/routing"
+	"github.com/bambooknot/bambooknot/timer"
+)
+
+// pipeNetwork connects addresses by pipes in memory, so that whole nodes run in virtual time.
+type pipeNetwork struct {
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*pipeListener
+}
+
+type pipeListener struct {
+	network *pipeNetwork
+	address netip.AddrPort
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newPipeNetwork() *pipeNetwork {
+	return &pipeNetwork{listeners: make(map[netip.AddrPort]*pipeListener)}
+}
+
+func (n *pipeNetwork) listen(address netip.AddrPort) *pipeListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &pipeListener{network: n, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (n *pipeNetwork) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[to]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, net.ErrClosed
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
+
+// pipeServer is a backend server that may state a limit and counts the requests that reach it.
+type pipeServer struct {
+	id      string
+	http    *http.Server
+	runTime time.Duration
+
+	mu       sync.Mutex
+	limit    string // as stated in responses, "" for none
+	arrivals []time.Time
+	classes  map[string]int // requests that reached the server, by path
+}
+
+func (s *pipeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.classes[r.URL.Path]++
+	s.mu.Unlock()
+	time.Sleep(s.runTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" {
+		w.Header().Set("Server-Limit", s.limit)
+	}
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	w.Header().Set("X-Server-Seal", "sealed by "+s.id)
+	_, _ = io.WriteString(w, s.id)
+}
+
+func (s *pipeServer) state(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// limitWindow is the span over which the platform counts the requests that reach a limited server.
+const limitWindow = 4 * time.Second
+
+// most returns the greatest number of requests that reached the server within limitWindow since a time.
+func (s *pipeServer) most(since time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range s.arrivals {
+		for at.Sub(s.arrivals[first]) >= limitWindow || s.arrivals[first].Before(since) && first < last {
+			first++
+		}
+		if !s.arrivals[first].Before(since) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// limitFleet is a fleet of nodes in virtual time, each with one server of the same service, and with callers.
+type limitFleet struct {
+	network *pipeNetwork
+	rnd     *rand.Rand
+	table   *routing.Table
+	members []member.Member
+	nodes   []*limitNode
+
+	mu       sync.Mutex
+	statuses map[string]map[int]int // by path and status
+	latency  map[string]time.Duration
+}
+
+// limitNode is one node of a limitFleet.
+type limitNode struct {
+	fleet    *limitFleet
+	key      member.Key
+	place    member.Place
+	server   *pipeServer
+	owner    *proxy.Owner
+	ingress  *proxy.Ingress
+	inner    *exchange.Server
+	snapshot *routing.Snapshot
+}
+
+// Paths of the requests in a limitFleet.
+const (
+	pathUrgent = "/urgent/1"
+	pathOther  = "/other/1"
+)
+
+func limitRoute(name string, priority int) routing.Route {
+	return routing.NewRoute(routing.RouteFields{
+		Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: routing.KindUnsafe, Timeout: 1500 * time.Millisecond,
+		TargetLatency: 400 * time.Millisecond, Priority: priority, MaxAttempts: 2, Services: []routing.WeightedService{routing.NewWeightedService(service, 1)},
+	})
+}
+
+// newLimitFleet starts nodes in the failure domains of two regions in turn.
+func newLimitFleet(nodes, slots int, runTime time.Duration) *limitFleet {
+	f := &limitFleet{
+		network: newPipeNetwork(), rnd: rand.New(rand.NewPCG(1, 2)), statuses: make(map[string]map[int]int), latency: make(map[string]time.Duration),
+		table: routing.NewTable(1, []routing.Route{limitRoute("urgent", 0), limitRoute("other", 2)}, nil, routing.Limits{}),
+	}
+	places := []member.Place{member.NewPlace("a", "a1"), member.NewPlace("a", "a2"), member.NewPlace("b", "b1"), member.NewPlace("b", "b2")}
+	for i := range nodes {
+		address := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i + 1)})
+		n := &limitNode{fleet: f, key: member.NewKey(netip.AddrPortFrom(address, 7000), 1), place: places[i%len(places)]}
+		n.server = &pipeServer{id: fmt.Sprint("s", i), runTime: runTime, classes: make(map[string]int)}
+		n.server.http = &http.Server{Handler: n.server}
+		listener := f.network.listen(netip.AddrPortFrom(address, 8000))
+		go func() { _ = n.server.http.Serve(listener) }()
+		f.members = append(f.members, member.New(n.key, n.place, record.SchemaNewest).WithServer(member.NewServer(service, member.ServerReady, slots)))
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	f.publish()
+	return f
+}
+
+// start starts the process of the node, which knows its server from a heartbeat.
+func (n *limitNode) start() {
+	clock := timer.New()
+	at := n.key.Peer().Addr()
+	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: clock, Dial: n.fleet.network.dial, Log: zerolog.Nop(), Scope: tally.NoopScope})
+	for _, m := range n.fleet.members {
+		if m.Key() == n.key {
+			n.owner.SetBackend(proxy.NewBackend(n.server.id, netip.AddrPortFrom(at, 8000), m.Server()).WithStarted(1))
+		}
+	}
+	n.inner = exchange.NewServer(n.fleet.network.listen(n.key.Peer()), exchange.Settings{
+		Handle:        n.owner.ServeCall,
+		Limits:        func() exchange.Limits { return exchange.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20} },
+		HeaderTimeout: func() time.Duration { return time.Minute },
+		IdleTimeout:   func() time.Duration { return time.Minute },
+		Timers:        clock,
+	})
+	n.ingress = proxy.NewIngress(proxy.IngressSettings{
+		Self: n.key, Place: n.place, Snapshot: func() *routing.Snapshot { return n.snapshot }, Service: func() string { return "web" }, Owner: n.owner,
+		Pool:    exchange.PoolSettings{Dial: n.fleet.network.dial, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerPeer: 16, MaxBodyBytes: 1 << 20},
+		Retry:   retry.WindowBudgetSettings{Span: 10 * time.Second, Share: 0.06, Reserve: 18},
+		Balance: balance.Settings{CrossRegionBackoff: 500 * time.Millisecond}, Timers: clock,
+		Rand: rand.New(rand.NewPCG(uint64(at.As4()[3]), 1)), Log: zerolog.Nop(), Scope: tally.NoopScope,
+	})
+}
+
+func (n *limitNode) stop() {
+	n.ingress.Close()
+	n.inner.Close()
+	n.owner.Close()
+}
+
+// restart replaces the process of the node, which keeps nothing. Its server goes on.
+func (n *limitNode) restart() {
+	n.stop()
+	n.key = member.NewKey(n.key.Peer(), n.key.Incarnation()+1)
+	for i, m := range n.fleet.members {
+		if m.Key().Peer() == n.key.Peer() {
+			n.fleet.members[i] = member.New(n.key, n.place, record.SchemaNewest).WithServer(m.Server())
+		}
+	}
+	n.start()
+	n.fleet.publish()
+}
+
+func (f *limitFleet) publish() {
+	for _, n := range f.nodes {
+		n.snapshot = routing.NewSnapshot(f.table, member.NewView(n.key, append([]member.Member(nil), f.members...)))
+	}
+}
+
+func (f *limitFleet) close() {
+	for _, n := range f.nodes {
+		n.stop()
+		_ = n.server.http.Close()
+	}
+}
+
+// load offers requests at a rate per second for some time, a fifth of them urgent, at the given nodes, and waits for the
+// answers.
+func (f *limitFleet) load(perSecond float64, duration time.Duration, at []*limitNode) {
+	var wg sync.WaitGroup
+	for i, end := 0, time.Now().Add(duration); time.Now().Before(end); i++ {
+		time.Sleep(time.Duration(f.rnd.ExpFloat64() / perSecond * float64(time.Second)))
+		n, path, id := at[f.rnd.IntN(len(at))], pathOther, fmt.Sprint(time.Now().UnixNano(), "-", i)
+		if f.rnd.IntN(5) == 0 {
+			path = pathUrgent
+		}
+		wg.Go(func() { n.send(path, id) })
+	}
+	wg.Wait()
+}
+
+func (n *limitNode) send(path, id string) {
+	start := time.Now()
+	h := http.Header{"X-Attempt-Id": {id}, "X-Deadline-Remaining": {"1500"}}
+	response := n.ingress.Handle(context.Background(), exchange.NewRequest(http.MethodPost, path, "a.example", h, nil).WithReceivedAt(start))
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.statuses[path] == nil {
+		f.statuses[path] = make(map[int]int)
+	}
+	f.statuses[path][response.Status()]++
+	f.latency[path] = max(f.latency[path], time.Since(start))
+}
+
+// served returns the share of the requests of a path that were answered with success.
+func (f *limitFleet) served(path string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, n := range f.statuses[path] {
+		sum += n
+	}
+	return float64(f.statuses[path][http.StatusOK]) / float64(sum)
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 // OwnerSettings configure an Owner.
 type OwnerSettings struct {
 	Timers      *timer.Service
+	Dial        func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // to the server; nil means exchange.Dial
 	Log         zerolog.Logger
 	AnsweredLog zerolog.Logger // for answered requests
 	Scope       tally.Scope
@@ -80,6 +82,9 @@
 
 // NewOwner returns an owner without a server.
 func NewOwner(s OwnerSettings) *Owner {
+	if s.Dial == nil {
+		s.Dial = exchange.Dial
+	}
 	connections, strayResponses := s.Scope.Counter("server_connections"), s.Scope.Counter("server_stray_answers")
 	o := &Owner{
 		shutdownState: shutdownState{timers: s.Timers},
@@ -87,7 +92,7 @@
 		runTimes:      newRunTimeEstimator(),
 		admission:     admission.New(admission.Settings{QueueLimit: maxQueue, MaxWait: maxQueueWait}, 1, s.Timers),
 		pool: exchange.NewPool(exchange.PoolSettings{
-			Dial: exchange.Dial, DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdlePerPeer: serverIdleConnections,
+			Dial: s.Dial, DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdlePerPeer: serverIdleConnections,
 			MaxBodyBytes: maxResponseBytes, Timers: s.Timers,
 			OnDial:          func() { connections.Inc(1) },
 			OnStrayResponse: func(netip.AddrPort) { strayResponses.Inc(1) },
