proxy, admission, balance: keep the limits that servers state in their answers

Room at a server was known only as slots, queue and pace, so a server in need that answers quickly looked like one with room. Change: the node beside the server, through which all its requests go, learns the limit from the answer to the request sent last and grants slots at that rate (token bucket, a quarter of a second of burst). Queued requests wait for it by rank and latest start; what could not start in time is refused at once with the wait that the rate demands. Nodes of callers learn the limit with results, count the server's capacity by rate and run time, and pass the limit on with their requests, because the node beside the server may have been restarted: no message is added for it.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -19,7 +19,9 @@
 	mu      sync.Mutex
 	queue   *Queue
 	lastID  ID
-	waiters map[ID]chan bool // receive true when the call gets a slot, false when it is refused
+	waiters map[ID]chan bool    // receive true when the call gets a slot, false when it is refused
+	wake    *timer.Subscription // for the next call that the rate permits; may be over
+	wakeAt  time.Time
 }
 
 // New returns a controller for a server with the given number of slots.
@@ -42,6 +44,20 @@
 	c.notify(c.queue.Expire(c.timers.Now()))
 }
 
+// SetRate limits the calls that get a slot to a number per second, see Queue.SetRate.
+func (c *Controller) SetRate(perSecond float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify(c.queue.SetRate(c.timers.Now(), perSecond))
+}
+
+// RateWait returns the time until the limit set with SetRate permits a further call.
+func (c *Controller) RateWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.RateWait(c.timers.Now())
+}
+
 // Slots returns the number of slots.
 func (c *Controller) Slots() int {
 	c.mu.Lock()
@@ -140,6 +156,29 @@
 	for _, id := range change.Refused() {
 		c.resolve(id, false)
 	}
+	c.scheduleGrant()
+}
+
+// scheduleGrant has the queue grant the next slot once the rate permits it. The caller holds mu.
+func (c *Controller) scheduleGrant() {
+	now := c.timers.Now()
+	wait, ok := c.queue.NextGrant(now)
+	at := now.Add(wait)
+	if !ok || c.wakeAt.After(now) && !at.Before(c.wakeAt) {
+		return
+	}
+	c.wakeAt = at
+	c.wake = c.timers.After(wait, c.expire)
+}
+
+// Close waits until no scheduled grant is running. No further call may be made.
+func (c *Controller) Close() {
+	c.mu.Lock()
+	wake := c.wake
+	c.mu.Unlock()
+	if wake != nil {
+		wake.Close()
+	}
 }
 
 func (c *Controller) resolve(id ID, ok bool) {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -79,6 +79,7 @@
 	calls          []queuedCall // by descending priority, then in order of arrival
 	averageRunTime time.Duration
 	waitRatios     map[Priority]waitRatio
+	rate           rateLimit
 
 	isExpired func(c queuedCall, now time.Time) bool // replaced by tests
 }
@@ -106,6 +107,27 @@
 // Slots returns the number of slots.
 func (q *Queue) Slots() int { return q.slots }
 
+// SetRate limits the calls that get a slot to a number per second, but not below MinRate. Zero or less means no limit.
+func (q *Queue) SetRate(now time.Time, perSecond float64) Change {
+	if perSecond > 0 {
+		perSecond = max(perSecond, MinRate)
+	}
+	q.rate.set(now, max(perSecond, 0))
+	return q.Expire(now)
+}
+
+// RateWait returns the time until the limit set with SetRate permits a further call behind those in the queue.
+func (q *Queue) RateWait(now time.Time) time.Duration { return q.rate.wait(now, len(q.calls)+1) }
+
+// NextGrant returns the time after which Expire grants a slot to a queued call, if only the limit set with SetRate
+// prevents that now.
+func (q *Queue) NextGrant(now time.Time) (wait time.Duration, ok bool) {
+	if len(q.calls) == 0 || q.running >= q.slots {
+		return 0, false
+	}
+	return q.rate.wait(now, 1), true
+}
+
 // Running returns the number of calls that hold a slot.
 func (q *Queue) Running() int { return q.running }
 
@@ -119,8 +141,7 @@
 		return DecisionRefuse, Change{}
 	}
 	change := q.Expire(now)
-	if q.running < q.slots && len(q.calls) == 0 {
-		q.running++
+	if len(q.calls) == 0 && q.grant(now) {
 		return DecisionRun, change
 	}
 	index := q.position(priority)
@@ -128,7 +149,7 @@
 	if deadline.Before(expiresAt) {
 		expiresAt = deadline
 	}
-	expected := q.expectedWait(index)
+	expected := q.expectedWait(now, index)
 	if now.Add(q.waitRatios[priority].scale(now, expected)).After(expiresAt) {
 		return DecisionRefuse, change
 	}
@@ -139,6 +160,16 @@
 	return DecisionWait, change
 }
 
+// grant takes a slot if there is one and the rate permits a call.
+func (q *Queue) grant(now time.Time) bool {
+	if q.running >= q.slots || !q.rate.available(now) {
+		return false
+	}
+	q.rate.take()
+	q.running++
+	return true
+}
+
 func (q *Queue) queueLimit() int {
 	if q.settings.QueueLimit > 0 {
 		return q.settings.QueueLimit
@@ -157,8 +188,8 @@
 }
 
 // expectedWait estimates how long the call at an index of the queue waits for a slot.
-func (q *Queue) expectedWait(index int) time.Duration {
-	return q.averageRunTime * time.Duration(index+1) / time.Duration(q.slots)
+func (q *Queue) expectedWait(now time.Time, index int) time.Duration {
+	return max(q.averageRunTime*time.Duration(index+1)/time.Duration(q.slots), q.rate.wait(now, index+1))
 }
 
 // displace refuses the last call of the queue and reports true if its priority is lower than the given one.
@@ -205,11 +236,10 @@
 		kept = append(kept, c)
 	}
 	q.calls = kept
-	for q.running < q.slots && len(q.calls) > 0 {
+	for len(q.calls) > 0 && q.grant(now) {
 		q.recordWait(now, q.calls[0])
 		change.granted = append(change.granted, q.calls[0].id)
 		q.calls = slices.Delete(q.calls, 0, 1)
-		q.running++
 	}
 	return change
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,8 @@
 	maxEjectionTime     = 30 * time.Second
 	minSlowStartWeight  = 0.1
 	loadMaxAge          = 200 * time.Millisecond // age at which a reported load no longer counts
+	rateMaxAge          = 2 * time.Second        // age at which a reported limit of the calls per second no longer counts
+	defaultRunTime      = 100 * time.Millisecond // run time of calls that is assumed before the first answer
 	drainBackoff        = 5 * time.Second        // time for which a draining server is avoided
 	randomChoices       = 2
 	latencySampleWeight = 1.0 / 16 // weight of one sample in the moving averages of latency
@@ -88,6 +90,8 @@
 	ejectedUntil         time.Time
 	refusalBackoffUntil  time.Time
 	drainBackoffUntil    time.Time
+	rate                 float64 // calls per second that the server accepts from all nodes together; 0 for no limit
+	rateReportedAt       time.Time
 	readySince           time.Time // zero if the server was ready when first seen
 	ready                bool
 }
@@ -226,17 +230,31 @@
 
 // full reports whether another call would have to wait at the server.
 func (t *target) full(now time.Time) bool {
-	return now.Before(t.refusalBackoffUntil) || t.load(now) >= float64(t.slots())
+	return now.Before(t.refusalBackoffUntil) || t.load(now) >= t.capacity(now)
 }
 
 // saturated reports whether another call would probably be refused because the queue, which is as long as the
 // number of slots, is full too. Calls cross to another region only if the best server of this one is saturated.
 func saturated(t *target, now time.Time) bool {
-	return now.Before(t.refusalBackoffUntil) || t.load(now) >= float64(2*t.slots())
+	return now.Before(t.refusalBackoffUntil) || t.load(now) >= 2*t.capacity(now)
 }
 
 func (t *target) slots() int { return max(t.member.Server().Slots(), 1) }
 
+// capacity returns the number of calls that the server can run concurrently. For a server that accepts a limited number
+// of calls per second, it is the number that runs at that rate on average.
+func (t *target) capacity(now time.Time) float64 {
+	slots := float64(t.slots())
+	if t.rate == 0 || now.Sub(t.rateReportedAt) >= rateMaxAge {
+		return slots
+	}
+	runTime := t.meanLatency
+	if runTime == 0 {
+		runTime = defaultRunTime
+	}
+	return min(t.rate*runTime.Seconds(), slots)
+}
+
 // load estimates the number of calls at the server. The weight of the reported load decreases linearly with its age.
 func (t *target) load(now time.Time) float64 {
 	age := now.Sub(t.loadReportedAt)
@@ -250,7 +268,7 @@
 // score returns the estimated load per slot after another call, adjusted for latency, refusals, suspicion and slow
 // start. Lower is better.
 func (m *Machine) score(now time.Time, t *target) float64 {
-	load := (t.load(now) + 1) / float64(t.slots()) * m.relativeLatency(t)
+	load := (t.load(now) + 1) / t.capacity(now) * m.relativeLatency(t)
 	if now.Before(t.refusalBackoffUntil) {
 		load++
 	}
--- a/balance/report.go
+++ b/balance/report.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// RecordLimit records the number of calls per second that a server accepts from all nodes together; 0 means no limit.
+func (m *Machine) RecordLimit(now time.Time, key member.Key, perSecond float64) {
+	if t, ok := m.targets[key]; ok {
+		t.rate, t.rateReportedAt = perSecond, now
+	}
+}
+
 func (m *Machine) recordFailure(now time.Time, t *target) (ejected bool) {
 	t.consecutiveFailures++
 	if t.consecutiveFailures < m.settings.EjectionFailures || now.Before(t.ejectedUntil) {
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +18,7 @@
 const (
 	headerCall   = "Bn-Call"
 	headerResult = "Bn-Result"
+	headerLimit  = "Bn-Limit"
 )
 
 // Call is the metadata of a request that the node on the server's VM needs.
@@ -100,6 +102,22 @@
 	}, nil
 }
 
+// encodeLimit encodes the limit of a server, in a request to the node beside it or in the response of that node.
+func encodeLimit(l learnedLimit) string {
+	return strconv.FormatFloat(l.perSecond, 'g', -1, 64) + " " + strconv.FormatInt(l.age.Milliseconds(), 10)
+}
+
+// decodeLimit returns false if the line holds no limit.
+func decodeLimit(line string) (learnedLimit, bool) {
+	first, second, ok := strings.Cut(line, " ")
+	perSecond, err1 := strconv.ParseFloat(first, 64)
+	age, err2 := strconv.ParseInt(second, 10, 64)
+	if !ok || err1 != nil || err2 != nil || perSecond < 0 || math.IsInf(perSecond, 0) || math.IsNaN(perSecond) {
+		return learnedLimit{}, false
+	}
+	return learnedLimit{perSecond: perSecond, age: time.Duration(age) * time.Millisecond}, true
+}
+
 // resultMatches reports whether the response of another node belongs to the request.
 func resultMatches(h http.Header, requestID string) bool {
 	id, _, _ := strings.Cut(h.Get(headerResult), " ")
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -51,6 +51,7 @@
 	retryBudgets map[string]*retry.WindowBudget
 	splitter     *routing.Splitter
 	retries      *retry.Tracker // of callers
+	limits       *limitMemory   // of servers
 	maxNodes     int            // greatest number of members in any view so far
 	lastView     *member.View
 }
@@ -68,6 +69,7 @@
 		retryBudgets:  make(map[string]*retry.WindowBudget),
 		splitter:      routing.NewSplitter(s.Rand),
 		retries:       retry.NewTracker(),
+		limits:        newLimitMemory(),
 	}
 }
 
@@ -87,7 +89,8 @@
 // Handle returns the response to one request of a caller.
 func (in *Ingress) Handle(ctx context.Context, r *exchange.Request) *exchange.Response {
 	info := platform.ExtractRequestInfo(r.Header())
-	r.Header().Del(headerCall) // only nodes may set it
+	r.Header().Del(headerCall) // only nodes may set these
+	r.Header().Del(headerLimit)
 	response, request := in.handle(ctx, info, r)
 	platform.SetAttemptID(response.Header(), info.AttemptID())
 	in.trackFailure(request, response)
@@ -284,6 +287,9 @@
 // forward sends a request to another node.
 func (in *Ingress) forward(ctx context.Context, c Call, r *exchange.Request, to netip.AddrPort) Result {
 	r.Header().Set(headerCall, encodeCall(c))
+	if learned, ok := in.learnedLimit(to); ok {
+		r.Header().Set(headerLimit, encodeLimit(learned))
+	}
 	response, err := in.pool.Do(ctx, to, r, func(h http.Header) bool { return resultMatches(h, c.requestID) })
 	switch {
 	case exchange.NotSent(err):
@@ -299,13 +305,24 @@
 	if err != nil {
 		return unknown(ReasonNodeLost)
 	}
+	if learned, ok := decodeLimit(response.Header().Get(headerLimit)); ok {
+		result.limited, result.perSecond = true, learned.perSecond
+	}
 	response.Header().Del(headerResult)
+	response.Header().Del(headerLimit)
 	if result.outcome == OutcomeAnswered {
 		result.response = response
 	}
 	return result
 }
 
+// learnedLimit returns the limit of the server beside a node, if it has one.
+func (in *Ingress) learnedLimit(node netip.AddrPort) (learnedLimit, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.limits.recall(in.settings.Timers.Now(), node)
+}
+
 // recordResult updates the load balancer with the result of an attempt.
 func (in *Ingress) recordResult(to member.Key, r Result, latency time.Duration) {
 	now := in.settings.Timers.Now()
@@ -314,6 +331,10 @@
 	if r.load != (balance.Load{}) {
 		in.balancer.RecordLoad(now, to, r.load)
 	}
+	if r.limited || r.outcome == OutcomeAnswered {
+		in.limits.record(now, to.Peer(), r.limited, r.perSecond)
+		in.balancer.RecordLimit(now, to, r.rate())
+	}
 	in.balancer.RecordEnd(now, to, balanceResult(r))
 	if r.outcome == OutcomeAnswered {
 		in.balancer.RecordLatency(to, latency)
--- a/proxy/limit_test.go
+++ b/proxy/limit_test.go
@@ -37,3 +37,52 @@
 		qt.Check(t, f.served(pathOther) >= 0.99, qt.IsTrue, qt.Commentf("%v", f.statuses))
 	})
 }
+
+func TestRestartedNodeKeepsTheLimitOfItsServer(t *testing.T) {
+	const perSecond = 5.6
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(4, 18, 300*time.Millisecond)
+		defer f.close()
+		others, server := f.nodes[1:], f.nodes[0].server
+		server.state("5.6")
+		f.load(240, 5*time.Second, others)
+		since := time.Now()
+		for range 5 {
+			f.nodes[0].restart()
+			f.load(240, 700*time.Millisecond, others)
+		}
+		f.load(240, 2*time.Second, others)
+		most := server.most(since)
+		qt.Check(t, most <= limitAllowance(perSecond), qt.IsTrue, qt.Commentf("%d requests in %v, allowed %d", most, limitWindow, limitAllowance(perSecond)))
+
+		server.state("")
+		f.load(240, 3*time.Second, others)
+		since = time.Now()
+		f.nodes[0].restart()
+		f.load(240, 4*time.Second, others)
+		most = server.most(since)
+		qt.Check(t, most > 2*limitAllowance(perSecond), qt.IsTrue, qt.Commentf("the limit came back after it had ended: %d requests in %v", most, limitWindow))
+	})
+}
+
+// TestUrgentRequestsComeFirstAtLimitedServers limits all servers of a service to a third of the load.
+func TestUrgentRequestsComeFirstAtLimitedServers(t *testing.T) {
+	const perSecond = 8
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(12, 6, 90*time.Millisecond)
+		defer f.close()
+		for _, n := range f.nodes {
+			n.server.state("8")
+		}
+		f.load(300, 3*time.Second, f.nodes)
+		since := time.Now()
+		f.statuses = make(map[string]map[int]int)
+		f.load(300, 20*time.Second, f.nodes)
+		for i, n := range f.nodes {
+			most := n.server.most(since)
+			qt.Check(t, most <= limitAllowance(perSecond), qt.IsTrue, qt.Commentf("server %d: %d requests in %v", i, most, limitWindow))
+			qt.Check(t, float64(most) >= 0.9*perSecond*limitWindow.Seconds(), qt.IsTrue, qt.Commentf("server %d: only %d requests in %v", i, most, limitWindow))
+		}
+		qt.Check(t, f.served(pathUrgent) >= 0.99, qt.IsTrue, qt.Commentf("%v", f.statuses))
+	})
+}
--- a/proxy/limitfleet_test.go
+++ b/proxy/limitfleet_test.go
@@ -148,7 +148,6 @@
 
 	mu       sync.Mutex
 	statuses map[string]map[int]int // by path and status
-	latency  map[string]time.Duration
 }
 
 // limitNode is one node of a limitFleet.
@@ -179,7 +178,7 @@
 // newLimitFleet starts nodes in the failure domains of two regions in turn.
 func newLimitFleet(nodes, slots int, runTime time.Duration) *limitFleet {
 	f := &limitFleet{
-		network: newPipeNetwork(), rnd: rand.New(rand.NewPCG(1, 2)), statuses: make(map[string]map[int]int), latency: make(map[string]time.Duration),
+		network: newPipeNetwork(), rnd: rand.New(rand.NewPCG(1, 2)), statuses: make(map[string]map[int]int),
 		table: routing.NewTable(1, []routing.Route{limitRoute("urgent", 0), limitRoute("other", 2)}, nil, routing.Limits{}),
 	}
 	places := []member.Place{member.NewPlace("a", "a1"), member.NewPlace("a", "a2"), member.NewPlace("b", "b1"), member.NewPlace("b", "b2")}
@@ -284,7 +283,6 @@
 		f.statuses[path] = make(map[int]int)
 	}
 	f.statuses[path][response.Status()]++
-	f.latency[path] = max(f.latency[path], time.Since(start))
 }
 
 // served returns the share of the requests of a path that were answered with success.
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -258,7 +258,7 @@
 	q := o.waiting[id]
 	delete(o.waiting, id)
 	r := notRun(ReasonFull)
-	r.retryAfter = expectedSlotWait(o.queue.Queued(), loadSlots, loadClasses[q.class].runTime)
+	r.retryAfter = retryDelay(expectedSlotWait(o.queue.Queued(), loadSlots, loadClasses[q.class].runTime), o.queue.RateWait(s.now))
 	s.deliver(q, r)
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -107,10 +107,11 @@
 
 // onLimitChange handles a change of the limit that the server states.
 func (o *Owner) onLimitChange(change limitChange) {
+	o.admission.SetRate(change.rate())
 	b, _ := o.Backend()
 	o.scope.Gauge("server_limit").Update(change.perSecond)
 	o.settings.Log.Info().Str("kind", "server_limit").Str("server", b.id).Bool("limited", change.limited).Float64("per_second", change.perSecond).
-		Float64("before", change.before).Str("request", change.requestID).Msg("the server changed the limit of requests that it accepts")
+		Float64("before", change.before).Str("request", change.requestID).Bool("by_caller", change.byCaller).Dur("age", change.age).Msg("the server changed the limit of requests that it accepts")
 }
 
 func (o *Owner) logInvalidLimit(err error) {
@@ -170,13 +171,20 @@
 	if err != nil {
 		return exchange.NewResponse(http.StatusBadRequest, nil, nil).WithClose()
 	}
+	if learned, ok := decodeLimit(r.Header().Get(headerLimit)); ok {
+		o.limit.adopt(learned, c.requestID)
+	}
 	r.Header().Del(headerCall)
+	r.Header().Del(headerLimit)
 	result := o.Serve(ctx, c, r)
 	response := result.response
 	if response == nil {
 		response = exchange.NewResponse(http.StatusServiceUnavailable, nil, nil)
 	}
 	response.Header().Set(headerResult, encodeResult(c.requestID, result))
+	if result.limited {
+		response.Header().Set(headerLimit, encodeLimit(learnedLimit{perSecond: result.perSecond}))
+	}
 	return response
 }
 
@@ -185,6 +193,7 @@
 	start := o.settings.Timers.Now()
 	result := o.serve(ctx, c, r, start)
 	result.load = o.load()
+	result.perSecond, result.limited = o.limit.current()
 	o.recordResult(c, result, start)
 	return result
 }
@@ -240,7 +249,7 @@
 func (o *Owner) refusal(reason Reason) Result {
 	result := notRun(reason)
 	_, queued := o.admission.Load()
-	result.retryAfter = expectedSlotWait(queued, o.admission.Slots(), o.admission.AverageRunTime())
+	result.retryAfter = retryDelay(expectedSlotWait(queued, o.admission.Slots(), o.admission.AverageRunTime()), o.admission.RateWait())
 	return result
 }
 
@@ -313,8 +322,8 @@
 	}
 	b, _ := o.Backend()
 	event := log.Info()
-	if perSecond, limited := o.limit.current(); limited {
-		event = event.Float64("per_second", perSecond)
+	if result.limited {
+		event = event.Float64("per_second", result.perSecond)
 	}
 	event.Str("kind", "server_result").Str("request", c.requestID).Str("server", b.id).Stringer("ending", result.outcome).Str("reason", string(result.reason)).
 		Int("urgency", c.priority).Dur("left", c.timeLeft).Dur("target", c.timeToTarget).Dur("most", o.runTimes.upperBound(c)).
@@ -322,4 +331,7 @@
 }
 
 // Close closes the connections to the server.
-func (o *Owner) Close() { o.pool.Close() }
+func (o *Owner) Close() {
+	o.pool.Close()
+	o.admission.Close()
+}
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -64,6 +64,11 @@
 
 // expectedSlotWait estimates when a slot is free for a refused request: after the queued calls have run.
 func expectedSlotWait(queued, slots int, runTime time.Duration) time.Duration {
-	wait := runTime * time.Duration(queued+1) / time.Duration(max(slots, 1))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	return runTime * time.Duration(queued+1) / time.Duration(max(slots, 1))
+}
+
+// retryDelay returns the Retry-After time for the expected wait for a slot and the wait that the limit of the server
+// demands.
+func retryDelay(slotWait, rateWait time.Duration) time.Duration {
+	return min(max(slotWait, rateWait, minRetryAfter), maxRetryAfter)
 }
--- a/proxy/serverlimit.go
+++ b/proxy/serverlimit.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
+	"github.com/bambooknot/bambooknot/admission"
 	"github.com/bambooknot/bambooknot/platform"
 )
 
@@ -22,12 +24,28 @@
 	invalid   bool // whether the last response had an invalid limit
 }
 
+// learnedLimit is the limit of a server as a node passes it on to another one.
+type learnedLimit struct {
+	perSecond float64
+	age       time.Duration // since the response that stated it
+}
+
 // limitChange is a change of the limit of a server.
 type limitChange struct {
 	requestID string // whose response stated it
 	limited   bool
 	perSecond float64
-	before    float64 // 0 if the server had no limit
+	before    float64       // 0 if the server had no limit
+	age       time.Duration // since the response that stated it
+	byCaller  bool          // whether the node of a caller passed the limit on
+}
+
+// rate returns the limit for admission.Controller.SetRate, which has no zero limit.
+func (c limitChange) rate() float64 {
+	if !c.limited {
+		return 0
+	}
+	return max(c.perSecond, admission.MinRate)
 }
 
 // send returns the number of a request that is about to be sent.
@@ -63,6 +81,18 @@
 	l.onChange(change)
 }
 
+// adopt sets a limit that the node of a caller passed on with a request, if no response of the server has decided it yet.
+// A node that has been restarted would otherwise use the server without a limit until the first response.
+func (l *serverLimit) adopt(learned learnedLimit, requestID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.decidedBy > 0 || l.limited {
+		return
+	}
+	l.limited, l.perSecond = true, learned.perSecond
+	l.onChange(limitChange{requestID: requestID, limited: true, perSecond: learned.perSecond, age: learned.age, byCaller: true})
+}
+
 // current returns the limit of the server in requests per second, and whether it has one.
 func (l *serverLimit) current() (perSecond float64, limited bool) {
 	l.mu.Lock()
@@ -76,5 +106,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastSent++
+	change := limitChange{before: l.perSecond}
+	wasLimited := l.limited
 	l.decidedBy, l.limited, l.perSecond, l.invalid = l.lastSent, false, 0, false
+	if wasLimited {
+		l.onChange(change)
+	}
 }
