proxy, presence, node: servers that state in their answers that they leave get no new requests

TestServerThatLeavesGetsNoRequests failed before: 89 requests reached the server later than 2.5 s after its first answer with the header, as its heartbeats still said ready. The node beside the server takes the process for draining from the first such answer on. Nodes of callers pass on what they know with their requests, so a node that was restarted meanwhile learns it with the first one, for the same process of the server only.

--- a/node/heartbeathandler.go
+++ b/node/heartbeathandler.go
@@ -117,6 +117,16 @@
 	hh.log.Info().Str("kind", "server_left").Str("server", id).Bool("present", present).Msg("a server announced its departure")
 }
 
+// recordLeaving records that the server stated in a response to a request that it is about to leave.
+func (hh *heartbeatHandler) recordLeaving(id string, started int64, requestID string) {
+	hh.mu.Lock()
+	defer hh.mu.Unlock()
+	if hh.machine.RecordLeaving(id, started) {
+		hh.log.Info().Str("kind", "server_leaving").Str("server", id).Int64("started", started).Str("request", requestID).Msg("the server states in its responses that it is leaving")
+		hh.notifyChange()
+	}
+}
+
 func acknowledge(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = io.WriteString(w, "{}") // after a lost response, the server repeats its request
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -107,7 +107,7 @@
 	scope := n.metrics.Scope()
 	routine := n.log.Output(n.logSink.RoutineWriter())
 	dialer := link.NewDialer(sidecarFleet)
-	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: n.clock, Log: n.log, AnsweredLog: routine, Scope: scope})
+	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: n.clock, Log: n.log, AnsweredLog: routine, Scope: scope, OnLeaving: n.onServerLeaving})
 	n.ingress = proxy.NewIngress(proxy.IngressSettings{
 		Self:     self.Key(),
 		Place:    s.Place(),
@@ -231,6 +231,10 @@
 	n.queue.post(message.NewServerUpdate(server))
 }
 
+func (n *Sidecar) onServerLeaving(b proxy.Backend, requestID string) {
+	n.heartbeats.recordLeaving(b.ID(), b.Started(), requestID)
+}
+
 // firstNodeDelay is the time after which a node that has found no other node assumes that it is the first of its fleet.
 const firstNodeDelay = 3 * time.Second
 
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -114,6 +114,16 @@
 	return false
 }
 
+// RecordLeaving records that a process of a server has stated in a response that it is about to leave, and reports whether
+// that makes the current server draining. Heartbeats of that process do not change it back.
+func (m *Machine) RecordLeaving(id string, started int64) bool {
+	if m.current == nil || m.current.draining || m.current.heartbeat.ID != id || m.current.heartbeat.Started != started {
+		return false
+	}
+	m.current.draining = true
+	return true
+}
+
 func (m *Machine) markDeparted(id string, started int64) {
 	if len(m.departedStarts) >= maxDeparted {
 		clear(m.departedStarts)
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -153,3 +153,17 @@
 		}
 	})
 }
+
+func TestServerThatLeavesByItsResponsesStaysDraining(t *testing.T) {
+	c := qt.New(t)
+	m := New(heartbeatTimeout, true)
+	m.RecordHeartbeat(start, ready("a", 10, 1))
+	c.Assert(m.RecordLeaving("a", 9), qt.IsFalse, qt.Commentf("an earlier process stated that"))
+	c.Assert(m.RecordLeaving("b", 10), qt.IsFalse)
+	assertCurrent(t, m, "a", member.ServerReady)
+	c.Assert(m.RecordLeaving("a", 10), qt.IsTrue)
+	m.RecordHeartbeat(start, ready("a", 10, 2))
+	assertCurrent(t, m, "a", member.ServerDraining)
+	m.RecordHeartbeat(start, ready("a", 11, 1))
+	assertCurrent(t, m, "a", member.ServerReady)
+}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -18,7 +18,7 @@
 const (
 	headerCall   = "Bn-Call"
 	headerResult = "Bn-Result"
-	headerLimit  = "Bn-Limit"
+	headerServer = "Bn-Server"
 )
 
 // Call is the metadata of a request that the node on the server's VM needs.
@@ -102,20 +102,42 @@
 	}, nil
 }
 
-// encodeLimit encodes the limit of a server, in a request to the node beside it or in the response of that node.
-func encodeLimit(l learnedLimit) string {
-	return strconv.FormatFloat(l.perSecond, 'g', -1, 64) + " " + strconv.FormatInt(l.age.Milliseconds(), 10)
+const statementFields = 4
+
+// noLimit stands for the limit of a server without one.
+const noLimit = "-"
+
+// encodeStatement encodes what a server stated, for a request to the node beside it or the response of that node.
+func encodeStatement(s statement) string {
+	limit := noLimit
+	if s.limited {
+		limit = strconv.FormatFloat(s.perSecond, 'g', -1, 64)
+	}
+	return strings.Join([]string{limit, strconv.FormatInt(s.age.Milliseconds(), 10), url.QueryEscape(s.leaving.id), strconv.FormatInt(s.leaving.started, 10)}, " ")
 }
 
-// decodeLimit returns false if the line holds no limit.
-func decodeLimit(line string) (learnedLimit, bool) {
-	first, second, ok := strings.Cut(line, " ")
-	perSecond, err1 := strconv.ParseFloat(first, 64)
-	age, err2 := strconv.ParseInt(second, 10, 64)
-	if !ok || err1 != nil || err2 != nil || perSecond < 0 || math.IsInf(perSecond, 0) || math.IsNaN(perSecond) {
-		return learnedLimit{}, false
+// decodeStatement returns an empty statement if the line is missing or malformed.
+func decodeStatement(line string) statement {
+	fields := strings.Split(line, " ")
+	if len(fields) != statementFields {
+		return statement{}
+	}
+	age, err1 := strconv.ParseInt(fields[1], 10, 64)
+	id, err2 := url.QueryUnescape(fields[2])
+	started, err3 := strconv.ParseInt(fields[3], 10, 64)
+	if errors.Join(err1, err2, err3) != nil {
+		return statement{}
+	}
+	s := statement{leaving: serverProcess{id: id, started: started}, age: time.Duration(age) * time.Millisecond}
+	if fields[0] == noLimit {
+		return s
+	}
+	perSecond, err := strconv.ParseFloat(fields[0], 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return statement{}
 	}
-	return learnedLimit{perSecond: perSecond, age: time.Duration(age) * time.Millisecond}, true
+	s.limited, s.perSecond = true, perSecond
+	return s
 }
 
 // resultMatches reports whether the response of another node belongs to the request.
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -50,9 +50,9 @@
 	balancer     *balance.Machine
 	retryBudgets map[string]*retry.WindowBudget
 	splitter     *routing.Splitter
-	retries      *retry.Tracker // of callers
-	limits       *limitMemory   // of servers
-	maxNodes     int            // greatest number of members in any view so far
+	retries      *retry.Tracker   // of callers
+	statements   *statementMemory // of servers
+	maxNodes     int              // greatest number of members in any view so far
 	lastView     *member.View
 }
 
@@ -69,7 +69,7 @@
 		retryBudgets:  make(map[string]*retry.WindowBudget),
 		splitter:      routing.NewSplitter(s.Rand),
 		retries:       retry.NewTracker(),
-		limits:        newLimitMemory(),
+		statements:    newStatementMemory(),
 	}
 }
 
@@ -90,7 +90,7 @@
 func (in *Ingress) Handle(ctx context.Context, r *exchange.Request) *exchange.Response {
 	info := platform.ExtractRequestInfo(r.Header())
 	r.Header().Del(headerCall) // only nodes may set these
-	r.Header().Del(headerLimit)
+	r.Header().Del(headerServer)
 	response, request := in.handle(ctx, info, r)
 	platform.SetAttemptID(response.Header(), info.AttemptID())
 	in.trackFailure(request, response)
@@ -287,8 +287,8 @@
 // forward sends a request to another node.
 func (in *Ingress) forward(ctx context.Context, c Call, r *exchange.Request, to netip.AddrPort) Result {
 	r.Header().Set(headerCall, encodeCall(c))
-	if learned, ok := in.learnedLimit(to); ok {
-		r.Header().Set(headerLimit, encodeLimit(learned))
+	if known := in.statementOf(to); !known.empty() {
+		r.Header().Set(headerServer, encodeStatement(known))
 	}
 	response, err := in.pool.Do(ctx, to, r, func(h http.Header) bool { return resultMatches(h, c.requestID) })
 	switch {
@@ -305,22 +305,20 @@
 	if err != nil {
 		return unknown(ReasonNodeLost)
 	}
-	if learned, ok := decodeLimit(response.Header().Get(headerLimit)); ok {
-		result.limited, result.perSecond = true, learned.perSecond
-	}
+	result.statement = decodeStatement(response.Header().Get(headerServer))
 	response.Header().Del(headerResult)
-	response.Header().Del(headerLimit)
+	response.Header().Del(headerServer)
 	if result.outcome == OutcomeAnswered {
 		result.response = response
 	}
 	return result
 }
 
-// learnedLimit returns the limit of the server beside a node, if it has one.
-func (in *Ingress) learnedLimit(node netip.AddrPort) (learnedLimit, bool) {
+// statementOf returns what the server beside a node stated last.
+func (in *Ingress) statementOf(node netip.AddrPort) statement {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return in.limits.recall(in.settings.Timers.Now(), node)
+	return in.statements.recall(in.settings.Timers.Now(), node)
 }
 
 // recordResult updates the load balancer with the result of an attempt.
@@ -331,9 +329,9 @@
 	if r.load != (balance.Load{}) {
 		in.balancer.RecordLoad(now, to, r.load)
 	}
-	if r.limited || r.outcome == OutcomeAnswered {
-		in.limits.record(now, to.Peer(), r.limited, r.perSecond)
-		in.balancer.RecordLimit(now, to, r.rate())
+	if r.outcome == OutcomeAnswered || !r.statement.empty() {
+		in.statements.record(now, to.Peer(), r.statement)
+		in.balancer.RecordLimit(now, to, r.statement.rate())
 	}
 	in.balancer.RecordEnd(now, to, balanceResult(r))
 	if r.outcome == OutcomeAnswered {
--- a/proxy/limit_test.go
+++ b/proxy/limit_test.go
@@ -86,3 +86,31 @@
 		qt.Check(t, f.served(pathUrgent) >= 0.99, qt.IsTrue, qt.Commentf("%v", f.statuses))
 	})
 }
+
+// drainTime is the time after the first response with an announcement to leave from which no request may reach the server.
+const drainTime = 2500 * time.Millisecond
+
+func TestServerThatLeavesGetsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(4, 6, 90*time.Millisecond)
+		defer f.close()
+		left := f.nodes[0]
+		f.load(150, time.Second, f.nodes)
+		left.server.leave()
+		f.load(150, drainTime, f.nodes)
+		since := time.Now()
+		f.load(150, time.Second, f.nodes)
+		left.heartbeat()
+		f.load(150, time.Second, f.nodes)
+		left.restart()
+		f.load(150, time.Second, f.nodes[1:])
+		qt.Check(t, left.server.arrivedSince(since), qt.Equals, 0)
+		qt.Check(t, f.served(pathUrgent) >= 0.99, qt.IsTrue, qt.Commentf("%v", f.statuses))
+
+		left.server.leaving = false
+		left.started++
+		left.heartbeat()
+		f.load(240, time.Second, f.nodes)
+		qt.Check(t, left.server.arrivedSince(since) > 0, qt.IsTrue, qt.Commentf("a new process of the server gets no requests"))
+	})
+}
--- a/proxy/limitfleet_test.go
+++ b/proxy/limitfleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sort"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/bambooknot/bambooknot/balance"
 	"github.com/bambooknot/bambooknot/exchange"
 	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/presence"
 	"github.com/bambooknot/bambooknot/proxy"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/retry"
@@ -92,6 +94,7 @@
 
 	mu       sync.Mutex
 	limit    string // as stated in responses, "" for none
+	leaving  bool   // as stated in responses
 	arrivals []time.Time
 	classes  map[string]int // requests that reached the server, by path
 }
@@ -108,11 +111,27 @@
 	if s.limit != "" {
 		w.Header().Set("Server-Limit", s.limit)
 	}
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Server-Seal", "sealed by "+s.id)
 	_, _ = io.WriteString(w, s.id)
 }
 
+func (s *pipeServer) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// arrivedSince returns the number of requests that reached the server since a time.
+func (s *pipeServer) arrivedSince(t time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrivals) - sort.Search(len(s.arrivals), func(i int) bool { return !s.arrivals[i].Before(t) })
+}
+
 func (s *pipeServer) state(limit string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,6 +161,7 @@
 type limitFleet struct {
 	network *pipeNetwork
 	rnd     *rand.Rand
+	slots   int // of each server
 	table   *routing.Table
 	members []member.Member
 	nodes   []*limitNode
@@ -156,6 +176,10 @@
 	key      member.Key
 	place    member.Place
 	server   *pipeServer
+	started  int64 // start of the server's process
+	sequence int64 // of its heartbeats
+	mu       sync.Mutex
+	presence *presence.Machine
 	owner    *proxy.Owner
 	ingress  *proxy.Ingress
 	inner    *exchange.Server
@@ -178,13 +202,13 @@
 // newLimitFleet starts nodes in the failure domains of two regions in turn.
 func newLimitFleet(nodes, slots int, runTime time.Duration) *limitFleet {
 	f := &limitFleet{
-		network: newPipeNetwork(), rnd: rand.New(rand.NewPCG(1, 2)), statuses: make(map[string]map[int]int),
+		network: newPipeNetwork(), slots: slots, rnd: rand.New(rand.NewPCG(1, 2)), statuses: make(map[string]map[int]int),
 		table: routing.NewTable(1, []routing.Route{limitRoute("urgent", 0), limitRoute("other", 2)}, nil, routing.Limits{}),
 	}
 	places := []member.Place{member.NewPlace("a", "a1"), member.NewPlace("a", "a2"), member.NewPlace("b", "b1"), member.NewPlace("b", "b2")}
 	for i := range nodes {
 		address := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i + 1)})
-		n := &limitNode{fleet: f, key: member.NewKey(netip.AddrPortFrom(address, 7000), 1), place: places[i%len(places)]}
+		n := &limitNode{fleet: f, key: member.NewKey(netip.AddrPortFrom(address, 7000), 1), place: places[i%len(places)], started: 1}
 		n.server = &pipeServer{id: fmt.Sprint("s", i), runTime: runTime, classes: make(map[string]int)}
 		n.server.http = &http.Server{Handler: n.server}
 		listener := f.network.listen(netip.AddrPortFrom(address, 8000))
@@ -203,12 +227,9 @@
 func (n *limitNode) start() {
 	clock := timer.New()
 	at := n.key.Peer().Addr()
-	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: clock, Dial: n.fleet.network.dial, Log: zerolog.Nop(), Scope: tally.NoopScope})
-	for _, m := range n.fleet.members {
-		if m.Key() == n.key {
-			n.owner.SetBackend(proxy.NewBackend(n.server.id, netip.AddrPortFrom(at, 8000), m.Server()).WithStarted(1))
-		}
-	}
+	n.presence = presence.New(time.Hour, true)
+	n.owner = proxy.NewOwner(proxy.OwnerSettings{Timers: clock, Dial: n.fleet.network.dial, OnLeaving: n.onLeaving, Log: zerolog.Nop(), Scope: tally.NoopScope})
+	n.heartbeat()
 	n.inner = exchange.NewServer(n.fleet.network.listen(n.key.Peer()), exchange.Settings{
 		Handle:        n.owner.ServeCall,
 		Limits:        func() exchange.Limits { return exchange.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20} },
@@ -225,6 +246,31 @@
 	})
 }
 
+// heartbeat passes a heartbeat of the server, which reports that it is ready, to the node.
+func (n *limitNode) heartbeat() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sequence++
+	n.presence.RecordHeartbeat(time.Now(), presence.Heartbeat{
+		ID: n.server.id, Started: n.started, Sequence: n.sequence, Address: netip.AddrPortFrom(n.key.Peer().Addr(), 8000),
+		Server: member.NewServer(service, member.ServerReady, n.fleet.slots),
+	})
+	n.setBackend()
+}
+
+func (n *limitNode) onLeaving(b proxy.Backend, _ string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.presence.RecordLeaving(b.ID(), b.Started())
+	n.setBackend()
+}
+
+func (n *limitNode) setBackend() {
+	if h, ok := n.presence.Current(); ok {
+		n.owner.SetBackend(proxy.NewBackend(h.ID, h.Address, h.Server).WithStarted(h.Started))
+	}
+}
+
 func (n *limitNode) stop() {
 	n.ingress.Close()
 	n.inner.Close()
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -40,6 +40,11 @@
 	return b
 }
 
+func (b Backend) process() serverProcess { return serverProcess{id: b.id, started: b.started} }
+
+// Started returns the start of the server's process in Unix milliseconds, 0 if not known.
+func (b Backend) Started() int64 { return b.started }
+
 // ID returns the ID of the server.
 func (b Backend) ID() string { return b.id }
 
@@ -56,6 +61,9 @@
 	Log         zerolog.Logger
 	AnsweredLog zerolog.Logger // for answered requests
 	Scope       tally.Scope
+	// OnLeaving is called when the response to a request, or the node of a caller, shows that the server is about to leave.
+	// It must make the server draining with SetBackend. Nil means that this is ignored.
+	OnLeaving func(server Backend, requestID string)
 }
 
 // Limits of the connections to the server.
@@ -85,6 +93,9 @@
 	if s.Dial == nil {
 		s.Dial = exchange.Dial
 	}
+	if s.OnLeaving == nil {
+		s.OnLeaving = func(Backend, string) {}
+	}
 	connections, strayResponses := s.Scope.Counter("server_connections"), s.Scope.Counter("server_stray_answers")
 	o := &Owner{
 		shutdownState: shutdownState{timers: s.Timers},
@@ -107,13 +118,33 @@
 
 // onLimitChange handles a change of the limit that the server states.
 func (o *Owner) onLimitChange(change limitChange) {
-	o.admission.SetRate(change.rate())
+	o.admission.SetRate(statement{limited: change.limited, perSecond: change.perSecond}.rate())
 	b, _ := o.Backend()
 	o.scope.Gauge("server_limit").Update(change.perSecond)
 	o.settings.Log.Info().Str("kind", "server_limit").Str("server", b.id).Bool("limited", change.limited).Float64("per_second", change.perSecond).
 		Float64("before", change.before).Str("request", change.requestID).Bool("by_caller", change.byCaller).Dur("age", change.age).Msg("the server changed the limit of requests that it accepts")
 }
 
+// adopt applies what the node of a caller knows of the server from earlier responses, in case this node has been restarted
+// since.
+func (o *Owner) adopt(s statement, requestID string) {
+	o.limit.adopt(s, requestID)
+	b, ok := o.Backend()
+	if ok && b.server.State() != member.ServerDraining && s.leaving == b.process() && b.id != "" {
+		o.settings.OnLeaving(b, requestID)
+	}
+}
+
+// statement returns what the server stated last.
+func (o *Owner) statement() statement {
+	var s statement
+	s.perSecond, s.limited = o.limit.current()
+	if b, ok := o.Backend(); ok && b.server.State() == member.ServerDraining {
+		s.leaving = b.process()
+	}
+	return s
+}
+
 func (o *Owner) logInvalidLimit(err error) {
 	b, _ := o.Backend()
 	o.settings.Log.Warn().Str("kind", "server_limit_ignored").Str("server", b.id).Err(err).Msg("ignored the limit in a response of the server")
@@ -171,19 +202,17 @@
 	if err != nil {
 		return exchange.NewResponse(http.StatusBadRequest, nil, nil).WithClose()
 	}
-	if learned, ok := decodeLimit(r.Header().Get(headerLimit)); ok {
-		o.limit.adopt(learned, c.requestID)
-	}
+	o.adopt(decodeStatement(r.Header().Get(headerServer)), c.requestID)
 	r.Header().Del(headerCall)
-	r.Header().Del(headerLimit)
+	r.Header().Del(headerServer)
 	result := o.Serve(ctx, c, r)
 	response := result.response
 	if response == nil {
 		response = exchange.NewResponse(http.StatusServiceUnavailable, nil, nil)
 	}
 	response.Header().Set(headerResult, encodeResult(c.requestID, result))
-	if result.limited {
-		response.Header().Set(headerLimit, encodeLimit(learnedLimit{perSecond: result.perSecond}))
+	if !result.statement.empty() {
+		response.Header().Set(headerServer, encodeStatement(result.statement))
 	}
 	return response
 }
@@ -193,7 +222,7 @@
 	start := o.settings.Timers.Now()
 	result := o.serve(ctx, c, r, start)
 	result.load = o.load()
-	result.perSecond, result.limited = o.limit.current()
+	result.statement = o.statement()
 	o.recordResult(c, result, start)
 	return result
 }
@@ -274,6 +303,9 @@
 	result := o.classifyResponse(b, response)
 	if result.reason == ReasonShed || platform.HasServerSeal(response.Header()) {
 		o.limit.observe(number, c.requestID, response.Header())
+		if platform.ServerLeaving(response.Header()) {
+			o.settings.OnLeaving(b, c.requestID)
+		}
 	}
 	return result
 }
@@ -322,8 +354,8 @@
 	}
 	b, _ := o.Backend()
 	event := log.Info()
-	if result.limited {
-		event = event.Float64("per_second", result.perSecond)
+	if result.statement.limited {
+		event = event.Float64("per_second", result.statement.perSecond)
 	}
 	event.Str("kind", "server_result").Str("request", c.requestID).Str("server", b.id).Stringer("ending", result.outcome).Str("reason", string(result.reason)).
 		Int("urgency", c.priority).Dur("left", c.timeLeft).Dur("target", c.timeToTarget).Dur("most", o.runTimes.upperBound(c)).
--- a/proxy/result.go
+++ b/proxy/result.go
@@ -5,7 +5,6 @@
 import (
 	"time"
 
-	"github.com/bambooknot/bambooknot/admission"
 	"github.com/bambooknot/bambooknot/balance"
 	"github.com/bambooknot/bambooknot/exchange"
 )
@@ -68,8 +67,7 @@
 	response      *exchange.Response // set if answered
 	retryAfter    time.Duration      // if not run, the delay after which a slot may be free
 	load          balance.Load
-	limited       bool          // whether the server limits the requests that it accepts
-	perSecond     float64       // that limit
+	statement     statement     // of the server
 	reachedServer bool          // whether the server may have received the request
 	queueTime     time.Duration // time spent waiting for a slot
 	runTime       time.Duration // time from the grant of a slot to the end of the request
@@ -93,11 +91,3 @@
 
 // Response returns the response of the server, or nil if there is none.
 func (r Result) Response() *exchange.Response { return r.response }
-
-// rate returns the requests per second that the server accepts, or 0 if it states no limit.
-func (r Result) rate() float64 {
-	if !r.limited {
-		return 0
-	}
-	return max(r.perSecond, admission.MinRate)
-}
--- a/proxy/serverlimit.go
+++ b/proxy/serverlimit.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/bambooknot/bambooknot/admission"
 	"github.com/bambooknot/bambooknot/platform"
 )
 
@@ -24,12 +23,6 @@
 	invalid   bool // whether the last response had an invalid limit
 }
 
-// learnedLimit is the limit of a server as a node passes it on to another one.
-type learnedLimit struct {
-	perSecond float64
-	age       time.Duration // since the response that stated it
-}
-
 // limitChange is a change of the limit of a server.
 type limitChange struct {
 	requestID string // whose response stated it
@@ -40,14 +33,6 @@
 	byCaller  bool          // whether the node of a caller passed the limit on
 }
 
-// rate returns the limit for admission.Controller.SetRate, which has no zero limit.
-func (c limitChange) rate() float64 {
-	if !c.limited {
-		return 0
-	}
-	return max(c.perSecond, admission.MinRate)
-}
-
 // send returns the number of a request that is about to be sent.
 func (l *serverLimit) send() uint64 {
 	l.mu.Lock()
@@ -83,14 +68,14 @@
 
 // adopt sets a limit that the node of a caller passed on with a request, if no response of the server has decided it yet.
 // A node that has been restarted would otherwise use the server without a limit until the first response.
-func (l *serverLimit) adopt(learned learnedLimit, requestID string) {
+func (l *serverLimit) adopt(s statement, requestID string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.decidedBy > 0 || l.limited {
+	if !s.limited || l.decidedBy > 0 || l.limited {
 		return
 	}
-	l.limited, l.perSecond = true, learned.perSecond
-	l.onChange(limitChange{requestID: requestID, limited: true, perSecond: learned.perSecond, age: learned.age, byCaller: true})
+	l.limited, l.perSecond = true, s.perSecond
+	l.onChange(limitChange{requestID: requestID, limited: true, perSecond: s.perSecond, age: s.age, byCaller: true})
 }
 
 // current returns the limit of the server in requests per second, and whether it has one.
