feed, platform, message: read the newest document when the store has returned from a copy

The store may come back without its last entries; their offsets are given out again, and Store-Era rises. Cause: a reader went on at the offset it had reached, which then stood behind the next document: TestChangeIsAppliedAfterTheStoreReturnsFromACopy failed (version 9 held, 10 published). Answers now carry the era; a reader that finds another one asks for the newest document, whatever its offset, and after a failure its first read does not wait, as the era is in its answer. 410 behind the end is a class of its own (rewound). A starting node does not put an older document of the store in force while it knows of a newer version at another node, for 1.5 s at most: TestStartingNodeKeepsToTheVersionOfItsPeers failed.

--- a/control/sidecar.go
+++ b/control/sidecar.go
@@ -14,10 +14,10 @@
 
 // SidecarSettings configures a Sidecar.
 type SidecarSettings struct {
-	Self    member.Member
-	Fleet   fleet.Settings
-	Feed    feed.Settings
-	Trimmed func(err error) bool // reports whether a read error means that the store no longer keeps the entries; required
+	Self  member.Member
+	Fleet fleet.Settings
+	Feed  feed.Settings
+	Gone  func(err error) bool // reports whether a read error means that the store does not have the requested offset; required
 }
 
 // Sidecar is the control state of a node that takes the operator's document from the platform's store: membership and
@@ -25,7 +25,7 @@
 type Sidecar struct {
 	fleet         *fleet.Machine
 	feed          *feed.Machine
-	isTrimmed     func(error) bool
+	isGone        func(error) bool
 	snapshot      *routing.Snapshot
 	readStartedAt time.Time // when the last ReadLog was issued
 }
@@ -33,9 +33,9 @@
 // NewSidecar returns the control state of a node without routes.
 func NewSidecar(settings SidecarSettings, rnd *rand.Rand) *Sidecar {
 	return &Sidecar{
-		fleet:     fleet.New(settings.Self, settings.Fleet, rnd),
-		feed:      feed.New(settings.Feed, rnd),
-		isTrimmed: settings.Trimmed,
+		fleet:  fleet.New(settings.Self, settings.Fleet, rnd),
+		feed:   feed.New(settings.Feed, rnd),
+		isGone: settings.Gone,
 	}
 }
 
@@ -67,7 +67,7 @@
 
 // ReceiveDocumentPage handles the result of a ReadDocument.
 func (c *Sidecar) ReceiveDocumentPage(now time.Time, page message.DocumentPage) []message.Action {
-	return c.update(now, c.feed.ReceivePage(now, page, page.Err() != nil && c.isTrimmed(page.Err())))
+	return c.update(now, c.feed.ReceivePage(now, page, page.Err() != nil && c.isGone(page.Err())))
 }
 
 // SetServer sets the state of the local backend server, as this node judges it.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -60,6 +60,9 @@
 	view        *member.View
 	documents   []int // versions by offset
 	firstOffset int   // offset of the oldest document kept
+	newest      int   // newest version that the operator has published
+	era         record.Era
+	unavailable bool // the store rejects all reads
 	reads       int
 	loss        float64
 	events      []event
@@ -85,7 +88,7 @@
 }
 
 func newSimulation(t failer, size int, seed uint64) *simulation {
-	sim := &simulation{t: t, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1))}
+	sim := &simulation{t: t, era: 1, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1))}
 	var members []member.Member
 	for i := range size {
 		addr := netip.AddrFrom4([4]byte{10, byte(i % len(places)), byte(i >> 8), byte(i)})
@@ -185,11 +188,14 @@
 		if n.dead || n.machine != machine {
 			return
 		}
-		if !n.storeUnavailable && !r.Newest() && len(sim.documents) == int(r.StartOffset()) && sim.now.Before(end) {
+		if !n.storeUnavailable && !sim.unavailable && !r.Newest() && len(sim.documents) == int(r.StartOffset()) && sim.now.Before(end) {
 			sim.after(step, poll)
 			return
 		}
 		page, trimmed := sim.page(n, r)
+		if page.Err() != errStoreUnavailable {
+			page = page.WithEra(sim.era)
+		}
 		sim.after(latency, func() {
 			if !n.dead && n.machine == machine {
 				n.execute(n.machine.ReceivePage(sim.now, page, trimmed))
@@ -202,9 +208,9 @@
 func (sim *simulation) page(n *simNode, r message.ReadDocument) (message.DocumentPage, bool) {
 	end := len(sim.documents)
 	switch {
-	case n.storeUnavailable:
+	case n.storeUnavailable, sim.unavailable:
 		return message.NewDocumentPage(nil, 0, errStoreUnavailable), false
-	case !r.Newest() && int(r.StartOffset()) < sim.firstOffset:
+	case !r.Newest() && (int(r.StartOffset()) < sim.firstOffset || int(r.StartOffset()) > end):
 		return message.NewDocumentPage(nil, 0, errTrimmed), true
 	case end == 0 || !r.Newest() && int(r.StartOffset()) >= end:
 		return message.NewDocumentPage(nil, record.Offset(end), nil), false
@@ -214,12 +220,27 @@
 
 // publish appends a document with a new version to the store, and returns the version.
 func (sim *simulation) publish() int {
-	version := 1
-	if n := len(sim.documents); n > 0 {
-		version = sim.documents[n-1] + 1 + sim.rnd.IntN(3)
+	sim.newest++
+	if sim.newest > 1 {
+		sim.newest += sim.rnd.IntN(3)
 	}
-	sim.documents = append(sim.documents, version)
-	return version
+	sim.documents = append(sim.documents, sim.newest)
+	return sim.newest
+}
+
+// rewind makes the store unavailable for a time and then return from a copy that lacks its last documents.
+func (sim *simulation) rewind(lost int, away time.Duration) {
+	sim.unavailable = true
+	sim.run(away)
+	sim.unavailable = false
+	sim.era++
+	sim.documents = sim.documents[:max(len(sim.documents)-lost, 0)]
+	sim.firstOffset = min(sim.firstOffset, len(sim.documents))
+}
+
+// publishAgain appends documents with the given versions, as the operator does after the store has lost them.
+func (sim *simulation) publishAgain(versions ...int) {
+	sim.documents = append(sim.documents, versions...)
 }
 
 func (sim *simulation) assertInForce(version int, what string) {
@@ -311,6 +332,64 @@
 	}
 }
 
+// TestChangeIsAppliedAfterTheStoreReturnsFromACopy has the store lose its last documents. The next ones get offsets that
+// readers have read before.
+func TestChangeIsAppliedAfterTheStoreReturnsFromACopy(t *testing.T) {
+	for _, lost := range []int{1, 2, 3} {
+		for again := range lost + 1 {
+			for _, size := range []int{1, 12} {
+				sim := newSettledSimulation(t, size, uint64(lost))
+				versions := []int{sim.documents[0]}
+				for range 4 {
+					versions = append(versions, sim.publish())
+					sim.run(200 * time.Millisecond)
+				}
+				sim.run(time.Second)
+				sim.assertInForce(versions[4], "before")
+				sim.rewind(lost, 1500*time.Millisecond)
+				for range again {
+					sim.publishAgain(versions[len(sim.documents)])
+				}
+				newest := versions[4] + 1
+				sim.publishAgain(newest)
+				sim.run(applyDeadline)
+				sim.assertInForce(newest, fmt.Sprintf("%d nodes, %d documents lost, %d published again before the next", size, lost, again))
+				for range 3 {
+					newest++
+					sim.publishAgain(newest)
+					sim.run(600 * time.Millisecond)
+					sim.assertInForce(newest, "after the return")
+				}
+			}
+		}
+	}
+}
+
+// TestStartingNodeKeepsToTheVersionOfItsPeers restarts nodes while the store holds an older document than the other nodes.
+func TestStartingNodeKeepsToTheVersionOfItsPeers(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSettledSimulation(t, 12, seed)
+		older, held := sim.publish(), sim.publish()
+		sim.run(time.Second)
+		sim.rewind(1, 500*time.Millisecond)
+		restarted := sim.nodes[seed%12]
+		restarted.start()
+		restarted.machine.Tick(sim.now, sim.view)
+		restarted.machine.Receive(sim.now, sim.view, message.NewEnvelope(sim.nodes[(seed+1)%12].self.Key(), message.NewVersionNotice(message.Round{}, record.Version(held), -1)))
+		restarted.machine.ReceivePage(sim.now, message.NewDocumentPage(fmt.Append(nil, older), 3, nil).WithEra(sim.era), false)
+		qt.Assert(t, restarted.machine.Version(), qt.Equals, record.Version(0), qt.Commentf("the older document of the store is in force"))
+		sim.run(time.Second)
+		sim.assertInForce(held, fmt.Sprint("seed ", seed))
+	}
+	// Without a node that holds the newer version, the document of the store has to do.
+	sim := newSimulation(t, 2, 1)
+	sim.nodes[1].dead = true
+	older := sim.publish()
+	sim.nodes[0].machine.Receive(sim.now, sim.view, message.NewEnvelope(sim.nodes[1].self.Key(), message.NewVersionNotice(message.Round{}, record.Version(older+1), -1)))
+	sim.run(3 * time.Second)
+	sim.assertInForce(older, "no node holds the newer version")
+}
+
 func TestChangeIsAppliedDespiteMessageLoss(t *testing.T) {
 	for seed := range uint64(10) {
 		sim := newSettledSimulation(t, 12, seed)
@@ -405,7 +484,8 @@
 	}
 }
 
-// TestFeedProperty draws schedules of changes, crashes, restarts, message loss, store outages and trimming. A node never
+// TestFeedProperty draws schedules of changes, crashes, restarts, message loss, store outages, trimming and returns of the
+// store from a copy. A node never
 // returns to an older version, and after the faults have ended the newest version is applied in time.
 func TestFeedProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -413,7 +493,7 @@
 		sim.publish()
 		for range rapid.IntRange(1, 15).Draw(t, "steps") {
 			n := sim.nodes[rapid.IntRange(0, len(sim.nodes)-1).Draw(t, "node")]
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
 				sim.publish()
 			case 1:
@@ -425,7 +505,12 @@
 			case 4:
 				sim.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
 			case 5:
-				sim.firstOffset = len(sim.documents) - 1
+				sim.firstOffset = max(len(sim.documents)-1, 0)
+			case 6:
+				lost := sim.documents[max(len(sim.documents)-rapid.IntRange(0, 3).Draw(t, "lost"), 0):]
+				again := rapid.SampledFrom([]int{0, len(lost)}).Draw(t, "again")
+				sim.rewind(len(lost), time.Duration(rapid.IntRange(0, 3000).Draw(t, "away"))*time.Millisecond)
+				sim.publishAgain(lost[:again]...)
 			}
 			sim.run(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 		}
--- a/feed/machine.go
+++ b/feed/machine.go
@@ -23,6 +23,8 @@
 	Applied      int // versions that this node applied
 	Rejected     int // documents that could not be decompressed or decoded
 	Requests     int // requests for a document sent to other nodes
+	Outdated     int // documents read from the store at the start that were older than the version of another node
+	StoreReturns int // times that the store was found to have returned from a copy without its last entries
 }
 
 // Machine holds the newest document and forwards it to other nodes. It is not safe for concurrent use; the routing
@@ -82,6 +84,9 @@
 // ConfirmedAt returns when the store was last known to hold no newer version; zero if never.
 func (m *Machine) ConfirmedAt() time.Time { return m.confirmedAt }
 
+// Era returns the era of the store in its last answer, or 0 before the first one.
+func (m *Machine) Era() record.Era { return m.reader.era }
+
 // Source returns the node that sent the active version, or the zero value if it was read from the store.
 func (m *Machine) Source() netip.AddrPort { return m.source }
 
--- a/feed/reading.go
+++ b/feed/reading.go
@@ -13,8 +13,10 @@
 	inFlight            bool
 	readStartedAt       time.Time
 	longPoll            bool // the store may hold the read in flight open
+	readsNewest         bool // the read in flight is for the newest document, whatever its offset
 	nextOffsetKnown     bool
 	nextOffset          record.Offset // where the next read continues
+	era                 record.Era    // of the store, in which nextOffset holds
 	nextReadAt          time.Time     // earliest time of the next read
 	consecutiveFailures int
 	minLatency          time.Duration // of the reads that the store did not hold open
@@ -98,34 +100,54 @@
 	r := &m.reader
 	r.inFlight, r.readStartedAt = true, m.now
 	m.counts.Reads++
-	if !r.nextOffsetKnown || m.table == nil {
+	r.readsNewest = !r.nextOffsetKnown || m.table == nil
+	if r.readsNewest {
 		r.longPoll = false
 		m.actions = append(m.actions, message.NewReadNewest())
 		return
 	}
-	if !r.latencyKnown {
-		wait = 0
+	if !r.latencyKnown || r.consecutiveFailures > 0 {
+		wait = 0 // a store that has returned states its era at once
 	}
 	r.longPoll = wait > 0
 	m.actions = append(m.actions, message.NewReadNext(r.nextOffset, wait))
 }
 
-// ReceivePage handles the answer to a ReadDocument. trimmed reports whether its error means that the store no longer
-// keeps the entries at the requested offset.
-func (m *Machine) ReceivePage(now time.Time, page message.DocumentPage, trimmed bool) []message.Action {
+// observeEra records the era of the store in an answer and reports whether the read was from the same era. Otherwise, the
+// store may hold other documents at the offsets that were read before, so the next read asks for the newest document.
+func (m *Machine) observeEra(era record.Era) bool {
+	r := &m.reader
+	if era == 0 || era == r.era {
+		return true
+	}
+	known := r.era != 0
+	r.era = era
+	if known {
+		m.counts.StoreReturns++
+		r.nextOffsetKnown = false
+	}
+	return !known
+}
+
+// ReceivePage handles the answer to a ReadDocument. gone reports whether its error means that the store does not have the
+// requested offset.
+func (m *Machine) ReceivePage(now time.Time, page message.DocumentPage, gone bool) []message.Action {
 	m.advance(now, m.view)
 	r := &m.reader
 	r.inFlight = false
+	sameEra := m.observeEra(page.Era())
 	if page.Err() != nil {
-		m.handleReadFailure(trimmed)
+		m.handleReadFailure(gone)
 		return m.takeActions()
 	}
 	if !r.longPoll {
 		r.observeLatency(m.now.Sub(r.readStartedAt))
 	}
-	r.consecutiveFailures, r.nextOffsetKnown, r.nextOffset = 0, true, page.Next()
-	r.nextReadAt = m.now
-	changed := page.Data() != nil && m.apply(page.Data(), nil, netip.AddrPort{})
+	r.consecutiveFailures, r.nextReadAt = 0, m.now
+	if sameEra || r.readsNewest {
+		r.nextOffsetKnown, r.nextOffset = true, page.Next()
+	}
+	changed := page.Data() != nil && m.applyFromStore(page.Data())
 	if page.Data() != nil || m.table == nil {
 		r.nextReadAt = m.now.Add(m.settings.MinReadInterval)
 	}
@@ -137,11 +159,24 @@
 	return m.takeActions()
 }
 
-func (m *Machine) handleReadFailure(trimmed bool) {
+// applyFromStore makes a document of the store the active one if it is newer, and reports whether it was. A starting node
+// that knows of a newer version at another node waits for that one: the store may have returned from a copy without it.
+func (m *Machine) applyFromStore(data []byte) bool {
+	if m.table == nil && m.pending.version > 0 && m.now.Sub(m.startedAt) < maxWaitForPeers {
+		table, err := m.settings.Decode(data)
+		if err == nil && table.Version() < m.pending.version {
+			m.counts.Outdated++
+			return false
+		}
+	}
+	return m.apply(data, nil, netip.AddrPort{})
+}
+
+func (m *Machine) handleReadFailure(gone bool) {
 	r := &m.reader
 	m.counts.ReadFailures++
 	r.isSubstitute = false
-	if trimmed {
+	if gone {
 		r.nextOffsetKnown, r.nextReadAt = false, m.now
 		return
 	}
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -88,6 +88,8 @@
 	fanout = 8
 	// rootsPerDomain is the number of members of each failure domain to which a reader sends a round.
 	rootsPerDomain = 2
+	// maxWaitForPeers is how long after its start a node waits for a newer document than that of the store.
+	maxWaitForPeers = 1500 * time.Millisecond
 	// documentsPerSecond limits the rate and the burst of documents sent in answer to requests.
 	documentsPerSecond = 32
 	// maxTrackedReaders limits the number of readers whose last round is remembered.
--- a/message/document.go
+++ b/message/document.go
@@ -38,6 +38,7 @@
 type DocumentPage struct {
 	data []byte
 	next record.Offset
+	era  record.Era
 	err  error
 }
 
@@ -46,9 +47,18 @@
 	return DocumentPage{data: data, next: next, err: err}
 }
 
+// WithEra returns the page with the era of the store that answered.
+func (p DocumentPage) WithEra(era record.Era) DocumentPage {
+	p.era = era
+	return p
+}
+
 // Event implements Event.
 func (DocumentPage) Event() {}
 
+// Era returns the era of the store that answered, also with an error; 0 if it is not known.
+func (p DocumentPage) Era() record.Era { return p.era }
+
 // Data returns the document, or nil. The receiver must not change it.
 func (p DocumentPage) Data() []byte { return p.data }
 
--- a/message/message.go
+++ b/message/message.go
@@ -147,6 +147,7 @@
 	first   record.Offset
 	next    record.Offset
 	entries []record.Entry
+	era     record.Era
 	err     error
 }
 
@@ -156,6 +157,15 @@
 	return LogPage{stream: stream, first: first, next: next, entries: entries, err: err}
 }
 
+// WithEra returns the page with the era of the log that answered.
+func (p LogPage) WithEra(era record.Era) LogPage {
+	p.era = era
+	return p
+}
+
+// Era returns the era of the log that answered, also with an error; 0 if it is not known.
+func (p LogPage) Era() record.Era { return p.era }
+
 // Stream returns the stream that was read.
 func (p LogPage) Stream() Stream { return p.stream }
 
@@ -176,6 +186,7 @@
 	stream Stream
 	token  uint64
 	offset record.Offset
+	era    record.Era
 	err    error
 }
 
@@ -184,6 +195,15 @@
 	return AppendResult{stream: stream, token: token, offset: offset, err: err}
 }
 
+// WithEra returns the result with the era of the log that answered.
+func (a AppendResult) WithEra(era record.Era) AppendResult {
+	a.era = era
+	return a
+}
+
+// Era returns the era of the log that answered, also with an error; 0 if it is not known.
+func (a AppendResult) Era() record.Era { return a.era }
+
 // Stream returns the stream appended to.
 func (a AppendResult) Stream() Stream { return a.stream }
 
--- a/node/documentreader.go
+++ b/node/documentreader.go
@@ -51,9 +51,9 @@
 	return d.store.NextDocument(ctx, r.StartOffset(), r.MaxWait())
 }
 
-// logAvailability logs when reads start to fail and when they succeed again. A trimmed entry is no failure.
+// logAvailability logs when reads start to fail and when they succeed again. An offset that is gone is no failure.
 func (d *documentReader) logAvailability(err error) {
-	if platform.ClassOf(err) == platform.ClassTrimmed || d.ctx.Err() != nil {
+	if offsetGone(err) || d.ctx.Err() != nil {
 		return
 	}
 	d.mu.Lock()
--- a/node/logclient.go
+++ b/node/logclient.go
@@ -38,8 +38,8 @@
 	l.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(l.ctx, l.appendTimeout)
 		defer cancel()
-		offset, err := l.log.Append(ctx, a.Stream(), a.Data())
-		l.deliver(message.NewAppendResult(a.Stream(), a.Token(), offset, err))
+		offset, era, err := l.log.AppendInEra(ctx, a.Stream(), a.Data())
+		l.deliver(message.NewAppendResult(a.Stream(), a.Token(), offset, err).WithEra(era))
 	})
 }
 
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -136,6 +136,12 @@
 	})
 }
 
+// offsetGone reports whether an error means that the store does not have the requested offset, any more or again.
+func offsetGone(err error) bool {
+	class := platform.ClassOf(err)
+	return class == platform.ClassTrimmed || class == platform.ClassRewound
+}
+
 // Limits of calls between nodes.
 const (
 	maxPeerHeaderBytes = 256 << 10
@@ -147,10 +153,10 @@
 	fleetSettings := fleet.SidecarSettings(sidecarFleet, s.Hints(), s.StoreRetention())
 	fleetSettings.RendezvousEmptyAtStart = s.FirstStart()
 	n.core = control.NewSidecar(control.SidecarSettings{
-		Self:    self,
-		Fleet:   fleetSettings,
-		Feed:    feed.Settings{Self: self, Decode: platform.DecodeTable, FirstStart: s.FirstStart()},
-		Trimmed: func(err error) bool { return platform.ClassOf(err) == platform.ClassTrimmed },
+		Self:  self,
+		Fleet: fleetSettings,
+		Feed:  feed.Settings{Self: self, Decode: platform.DecodeTable, FirstStart: s.FirstStart()},
+		Gone:  offsetGone,
 	}, rnd)
 	client := &http.Client{Transport: &http.Transport{DialContext: dialHTTP, MaxIdleConnsPerHost: 2, DisableCompression: true}}
 	store := platform.NewLog(s.StoreAddress(), client)
--- a/record/entry.go
+++ b/record/entry.go
@@ -3,6 +3,10 @@
 // Offset is the position of an entry in a stream of the platform's log. The first entry has offset 0.
 type Offset uint64
 
+// Era is a period of the log without loss. It rises each time the log returns from a copy that lacks its last entries, so
+// that offsets are given out again. Zero means not known.
+type Era uint64
+
 // Entry is one entry of the log.
 type Entry struct {
 	offset Offset
