standin, platform: a store that returns from a copy

The stand-in states its era in all responses, takes copies and returns from them, and answers 410 to reads behind its end.

--- a/standin/log.go
+++ b/standin/log.go
@@ -57,7 +57,7 @@
 //
 // An append may carry a producer name with an epoch and a sequence number; a repeated sequence number gets the
 // response to the first attempt. A read waits up to wait_ms for a first entry. It returns 410 and the first kept
-// offset if the entry at from has been trimmed. An append above the rate limit gets 429, above the size limit 413.
+// offset if the entry at from has been trimmed, or if from is behind the end. All responses have the header Store-Era. An append above the rate limit gets 429, above the size limit 413.
 // The endpoints below /control/ inject faults.
 type Log struct {
 	settings LogSettings
@@ -68,6 +68,7 @@
 	mu       sync.Mutex
 	streams  map[string]*logStream
 	groups   map[string]*logGroup
+	era      uint64     // rises with each Restore
 	file     *entryFile // nil if entries are kept in memory only
 	faults   logFaults
 	closed   chan struct{}
@@ -84,6 +85,7 @@
 		limiter:  rate.NewLimiter(rate.Limit(settings.AppendsPerSecond), max(1, settings.AppendsPerSecond/10)),
 		streams:  make(map[string]*logStream),
 		groups:   make(map[string]*logGroup),
+		era:      1,
 		faults:   newLogFaults(),
 		closed:   make(chan struct{}),
 	}
@@ -103,7 +105,7 @@
 		return
 	}
 	defer l.requests.Done()
-	l.mux.ServeHTTP(w, r)
+	l.mux.ServeHTTP(&eraWriter{ResponseWriter: w, log: l}, r)
 }
 
 func (l *Log) beginRequest() bool {
@@ -278,8 +280,8 @@
 	switch {
 	case err != nil:
 		writeError(w, http.StatusServiceUnavailable, err)
-	case trimmed:
-		writeStatusJSON(w, http.StatusGone, trimmedResponse{First: page.first})
+	case trimmed || req.from > page.next:
+		writeStatusJSON(w, http.StatusGone, trimmedResponse{First: page.first, End: page.next})
 	default:
 		w.Header().Set("Content-Type", "application/octet-stream")
 		_, _ = w.Write(page.encode()) // fails only if the client has disconnected
--- a/standin/log_control.go
+++ b/standin/log_control.go
@@ -197,6 +197,23 @@
 		}
 		return l.Trim(r.FormValue("stream"), before)
 	}))
+	copies := make(chan LogCopy, 1) // holds the copy that /control/copy has taken last
+	l.mux.HandleFunc("POST /control/copy", controlHandler(func(*http.Request) error {
+		select {
+		case <-copies:
+		default:
+		}
+		copies <- l.Copy()
+		return nil
+	}))
+	l.mux.HandleFunc("POST /control/restore", controlHandler(func(*http.Request) error {
+		select {
+		case c := <-copies:
+			return l.Restore(c)
+		default:
+			return errNoCopy
+		}
+	}))
 	l.mux.HandleFunc("GET /control/status", l.serveStatus)
 }
 
@@ -219,13 +236,14 @@
 	Outage   Outage                     `json:"outage"`
 	Delay    string                     `json:"delay"`
 	LostAcks int                        `json:"lost_acks"`
+	Era      uint64                     `json:"era"`
 	Streams  map[string]logStreamStatus `json:"streams"`
 }
 
 func (l *Log) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	l.mu.Lock()
 	status := logStatus{
-		Outage: l.faults.outage, Delay: l.faults.requestDelay.String(), LostAcks: l.faults.lostAcks,
+		Era: l.era, Outage: l.faults.outage, Delay: l.faults.requestDelay.String(), LostAcks: l.faults.lostAcks,
 		Streams: make(map[string]logStreamStatus, len(l.streams)),
 	}
 	for name, s := range l.streams {
--- a/standin/log_stream.go
+++ b/standin/log_stream.go
@@ -21,6 +21,7 @@
 
 type trimmedResponse struct {
 	First uint64 `json:"first"`
+	End   uint64 `json:"end_offset"`
 }
 
 // logPage is the response to a read.
