fleet, control, node: write addresses again after the store has returned from a copy

Cause: gateways went on reading the rendezvous stream behind its end, failed, and wrote nothing any more; nodes that restarted together found no addresses. Two nodes whose addresses were lost before they were read never met. Each node that sees a new era in any answer, the document's included, appends its address again and reads the stream from its tail; answers of an earlier era have no effect. The line store_returned and the gauge store_era show it; routes_awaited shows a starting node that waits for a newer document than that of the store.

--- a/control/sidecar.go
+++ b/control/sidecar.go
@@ -67,7 +67,8 @@
 
 // ReceiveDocumentPage handles the result of a ReadDocument.
 func (c *Sidecar) ReceiveDocumentPage(now time.Time, page message.DocumentPage) []message.Action {
-	return c.update(now, c.feed.ReceivePage(now, page, page.Err() != nil && c.isGone(page.Err())))
+	out := c.fleet.ObserveStoreEra(now, page.Era())
+	return c.update(now, append(out, c.feed.ReceivePage(now, page, page.Err() != nil && c.isGone(page.Err()))...))
 }
 
 // SetServer sets the state of the local backend server, as this node judges it.
@@ -106,5 +107,8 @@
 // Feed returns the distribution of the document. Callers may only read from it.
 func (c *Sidecar) Feed() *feed.Machine { return c.feed }
 
+// StoreEra returns the era of the store in its newest answer, or 0 before the first one.
+func (c *Sidecar) StoreEra() record.Era { return c.fleet.StoreEra() }
+
 // Members returns all members with a claim, including dead members and members that left.
 func (c *Sidecar) Members() []member.Member { return c.fleet.Members() }
--- a/feed/machine.go
+++ b/feed/machine.go
@@ -84,8 +84,13 @@
 // ConfirmedAt returns when the store was last known to hold no newer version; zero if never.
 func (m *Machine) ConfirmedAt() time.Time { return m.confirmedAt }
 
-// Era returns the era of the store in its last answer, or 0 before the first one.
-func (m *Machine) Era() record.Era { return m.reader.era }
+// Wanted returns the newest version that another node is known to hold, or 0 if there is none that the node lacks.
+func (m *Machine) Wanted() record.Version {
+	if m.pending.version <= m.Version() {
+		return 0
+	}
+	return m.pending.version
+}
 
 // Source returns the node that sent the active version, or the zero value if it was read from the store.
 func (m *Machine) Source() netip.AddrPort { return m.source }
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -24,6 +24,7 @@
 	Pauses        int // pauses of this node that it detected
 	RefusedClaims int // claims refused: table full, name too long or number out of range
 	Appends       int // appends to the rendezvous stream requested by this node
+	StoreReturns  int // times that the store was found to have returned from a copy without its last entries
 }
 
 // Machine is the membership state of one node. It is not safe for concurrent use.
--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -24,7 +24,10 @@
 	logDelay         = 10 * time.Millisecond
 )
 
-var errLogDown = fmt.Errorf("log is down")
+var (
+	errLogDown    = fmt.Errorf("log is down")
+	errLogRewound = fmt.Errorf("log ends before the offset")
+)
 
 // node is one simulated process of the network.
 type node struct {
@@ -62,6 +65,7 @@
 	logIdleAt        time.Time     // when the log has completed all earlier appends
 	appendDuration   time.Duration // time that the log needs for one append
 	entries          []record.Entry
+	era              record.Era // rises when the log returns from a copy without its last entries
 	appends          int
 	reads            int
 }
@@ -69,7 +73,7 @@
 func newNetwork(t testing.TB, seed uint64) *network {
 	start := time.Unix(1_700_000_000, 0)
 	return &network{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, byPeer: make(map[netip.AddrPort]*node),
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, era: 1, byPeer: make(map[netip.AddrPort]*node),
 		isCut: func(_, _ *node) bool { return false }, settings: Settings{Fleet: testFleet},
 	}
 }
@@ -193,9 +197,12 @@
 			return
 		}
 		page := message.NewLogPage(r.Stream(), 0, 0, nil, errLogDown)
-		if !w.logDown {
-			from := min(int(r.StartOffset()), len(w.entries))
-			page = message.NewLogPage(r.Stream(), 0, record.Offset(len(w.entries)), w.entries[from:], nil)
+		switch {
+		case w.logDown:
+		case int(r.StartOffset()) > len(w.entries):
+			page = message.NewLogPage(r.Stream(), 0, 0, nil, errLogRewound).WithEra(w.era)
+		default:
+			page = message.NewLogPage(r.Stream(), 0, record.Offset(len(w.entries)), w.entries[r.StartOffset():], nil).WithEra(w.era)
 		}
 		w.perform(n, m.ReceiveLogPage(w.now.Add(n.skew), page))
 	})
@@ -207,18 +214,28 @@
 	}
 	w.logIdleAt = w.logIdleAt.Add(w.appendDuration)
 	w.schedule(w.logIdleAt.Sub(w.now)+logDelay, func() {
-		err := errLogDown
+		err, era := errLogDown, record.Era(0)
 		if !w.logDown {
+			era = w.era
 			err = nil
 			w.appends++
 			w.entries = append(w.entries, record.NewEntry(record.Offset(len(w.entries)), a.Data()))
 		}
 		if !n.stopped && n.m == m {
-			w.perform(n, m.ReceiveAppendResult(w.now.Add(n.skew), message.NewAppendResult(a.Stream(), a.Token(), record.Offset(len(w.entries)), err)))
+			w.perform(n, m.ReceiveAppendResult(w.now.Add(n.skew), message.NewAppendResult(a.Stream(), a.Token(), record.Offset(len(w.entries)), err).WithEra(era)))
 		}
 	})
 }
 
+// rewind has the log return from a copy that has only the first entries. Nodes that read the store otherwise notice it.
+func (w *network) rewind(kept int, noticedBy ...*node) {
+	w.entries = w.entries[:min(kept, len(w.entries))]
+	w.era++
+	for _, n := range noticedBy {
+		w.perform(n, n.m.ObserveStoreEra(w.now.Add(n.skew), w.era))
+	}
+}
+
 // resume ends a pause. The node ticks before it receives the frames that arrived during the pause.
 func (w *network) resume(n *node) {
 	n.paused = false
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -31,6 +31,7 @@
 // rendezvousState is the node's state as a user of the rendezvous stream.
 type rendezvousState struct {
 	nextReadAt        time.Time        // next read, or next startup append
+	storeEra          record.Era       // of the store in its newest answer
 	readPending       bool             // a read is running
 	backoff           time.Duration    // mean delay after a failed read, zero after a successful one
 	nextOffset        record.Offset    // offset to read from
@@ -124,6 +125,42 @@
 	return true
 }
 
+// ObserveStoreEra handles the era of the store in one of its answers, of whatever stream. When the store has returned from
+// a copy without its last entries, the node appends its address again, as the entries that named it may be gone, and
+// reads the stream from its tail, as offsets are given out again.
+func (m *Machine) ObserveStoreEra(now time.Time, era record.Era) []message.Action {
+	m.advance(now)
+	m.observeStoreEra(era)
+	return m.takeActions()
+}
+
+// StoreEra returns the era of the store in its newest answer, or 0 before the first one.
+func (m *Machine) StoreEra() record.Era { return m.rendezvous.storeEra }
+
+// observeStoreEra reports whether an answer is from the current era of the store.
+func (m *Machine) observeStoreEra(era record.Era) bool {
+	r := &m.rendezvous
+	if era == 0 || era == r.storeEra {
+		return true
+	}
+	known := r.storeEra != 0
+	if era < r.storeEra {
+		return false
+	}
+	r.storeEra = era
+	if !known {
+		return true
+	}
+	m.counts.StoreReturns++
+	r.nextOffset, r.endKnown = 0, false
+	r.lastGrowthAt, r.newestEntryAt, r.lastAppendAt = time.Time{}, time.Time{}, time.Time{}
+	r.startupReadSent, r.startupAppendDone, r.appendPending = false, false, false
+	r.appendToken++ // the append in progress may be gone with the earlier era
+	r.backoff, r.appendDueAt = 0, time.Time{}
+	r.nextReadAt = m.now.Add(m.jitter(m.settings.RendezvousAppendDelay))
+	return false
+}
+
 // ReceiveLogPage processes the result of a read of the rendezvous stream.
 func (m *Machine) ReceiveLogPage(now time.Time, page message.LogPage) []message.Action {
 	if page.Stream() != message.StreamRendezvous {
@@ -131,7 +168,7 @@
 	}
 	m.advance(now)
 	m.rendezvous.readPending = false
-	if m.hasLeft {
+	if !m.observeStoreEra(page.Era()) || m.hasLeft {
 		return m.takeActions()
 	}
 	if m.skipToTail(page) {
@@ -311,7 +348,7 @@
 	if a.Stream() == message.StreamRendezvous && a.Token() == m.rendezvous.appendToken {
 		m.advance(now)
 		m.rendezvous.appendPending = false
-		m.finishStartupAppend(a.Err() == nil)
+		m.finishStartupAppend(a.Err() == nil && m.observeStoreEra(a.Era()))
 	}
 	return m.takeActions()
 }
--- a/fleet/sidecar_test.go
+++ b/fleet/sidecar_test.go
@@ -168,3 +168,58 @@
 	}
 	qt.Check(t, reads[true] < reads[false], qt.IsTrue, qt.Commentf("%v", reads))
 }
+
+// storeReturnLimit is the time after the return of the store within which what nodes wrote there must be back.
+const storeReturnLimit = 2 * time.Second
+
+// TestAddressesAreWrittenAgainAfterTheStoreReturnsFromACopy loses the rendezvous stream, or a part of it, and then kills all
+// nodes, which have to meet through the stream.
+func TestAddressesAreWrittenAgainAfterTheStoreReturnsFromACopy(t *testing.T) {
+	for _, kept := range []int{0, 3, 100} {
+		for seed := range uint64(5) {
+			comment := qt.Commentf("%d entries kept, seed %d", kept, seed)
+			w := newSidecars(t, seed, 12)
+			w.runUntil(formationLimit, w.converged)
+			w.run(30 * time.Second)
+			w.logDown = true
+			w.run(1500 * time.Millisecond)
+			w.logDown = false
+			w.rewind(kept, w.nodes[int(seed)%12], w.nodes[int(seed+5)%12])
+			before := len(w.entries)
+			w.run(storeReturnLimit)
+			qt.Check(t, len(w.entries) > before, qt.IsTrue, comment)
+			qt.Check(t, len(w.entries) <= before+len(w.nodes), qt.IsTrue, qt.Commentf("%d entries written, %d entries kept, seed %d", len(w.entries)-before, kept, seed))
+			for _, n := range w.nodes {
+				n.stopped = true
+			}
+			w.run(time.Second)
+			w.startAll(12)
+			qt.Check(t, w.reaches(formationLimit, w.converged), qt.IsTrue, comment)
+		}
+	}
+}
+
+// TestStartingNodesMeetWhenTheStoreLosesTheirAddresses loses what two nodes wrote at their start before they read it. Only
+// the stream can bring them together.
+func TestStartingNodesMeetWhenTheStoreLosesTheirAddresses(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newNetwork(t, seed)
+		w.settings = SidecarSettings(testFleet, nil, storeRetention)
+		w.appendDuration = appendTime
+		w.startNode(0, 0)
+		w.startNode(1, time.Duration(seed)*10*time.Millisecond)
+		w.run(time.Duration(20+7*seed) * time.Millisecond)
+		w.rewind(0)
+		qt.Check(t, w.reaches(storeReturnLimit, w.converged), qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestGatewaysNoticeThatTheStoreHasReturnedFromACopy has no other reader of the store that could notice it.
+func TestGatewaysNoticeThatTheStoreHasReturnedFromACopy(t *testing.T) {
+	w := newSidecars(t, 1, 12)
+	w.runUntil(formationLimit, w.converged)
+	w.run(30 * time.Second)
+	w.rewind(0)
+	w.run(2 * w.settings.RendezvousReadPeriod)
+	qt.Check(t, len(w.entries) > 0, qt.IsTrue)
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -51,6 +51,8 @@
 	self              member.Key       // owned by the loop
 	viewChangedAt     time.Time        // owned by the loop
 	rejectedDocuments int              // owned by the loop
+	outdatedDocuments int              // owned by the loop
+	storeEra          record.Era       // owned by the loop
 	loop              *eventLoop
 
 	peers           *peerTransport
@@ -279,6 +281,7 @@
 		scope.Gauge("routes_proof_age_seconds").Update(now.Sub(f.ConfirmedAt()).Seconds())
 		scope.Gauge("store_reads").Update(float64(f.Counts().Reads))
 		scope.Gauge("store_read_failures").Update(float64(f.Counts().ReadFailures))
+		scope.Gauge("store_era").Update(float64(n.core.StoreEra()))
 		scope.Gauge("routes_wanted").Update(float64(f.Counts().Requests))
 		scope.Gauge("fleet_view_age_seconds").Update(now.Sub(n.viewChangedAt).Seconds())
 		scope.Gauge("fleet_members").Update(float64(len(n.core.Members())))
--- a/node/sidecarcontrol.go
+++ b/node/sidecarcontrol.go
@@ -22,6 +22,24 @@
 	}
 	n.publish()
 	n.logRejectedDocuments()
+	n.logStoreEra()
+}
+
+// logStoreEra logs that the store has returned from a copy without its last entries, and that it holds an older document
+// than other nodes, which a starting node waits for.
+func (n *Sidecar) logStoreEra() {
+	f := n.core.Feed()
+	if era := n.core.StoreEra(); era != n.storeEra {
+		if n.storeEra != 0 {
+			n.log.Warn().Str("kind", "store_returned").Uint64("era", uint64(era)).Uint64("before", uint64(n.storeEra)).Uint64("version", uint64(f.Version())).
+				Msg("the store has returned without its last entries; writing the address again and reading from the newest document")
+		}
+		n.storeEra = era
+	}
+	if outdated := f.Counts().Outdated; outdated != n.outdatedDocuments {
+		n.outdatedDocuments = outdated
+		n.log.Warn().Str("kind", "routes_awaited").Uint64("wanted", uint64(f.Wanted())).Msg("the store holds an older document than another node; waiting for that node")
+	}
 }
 
 // logRejectedDocuments logs that a document could not be decoded. The active routes stay.
