exchange, proxy: do not take a repeated response without an ID for the next one

Cause: a response without an attempt ID was accepted for whatever request waited on the connection; the late copy of a refusal stood for the answer to a request that was running, which was sent to a second server. Such a response now counts only as the first one on a connection; later ones end the connection, and the outcome is unknown. TestRepeatedResponseWithoutIDIsNotTakenForTheNext failed before.

--- a/exchange/clientconn.go
+++ b/exchange/clientconn.go
@@ -17,10 +17,12 @@
 // closes the connection.
 const idleTimeoutMargin = time.Second
 
+var errUnidentified = errors.New("a response on a connection in use does not show to which request it belongs")
+
 // pendingRequest is a request that awaits its response.
 type pendingRequest struct {
 	method   string
-	matches  func(http.Header) bool
+	match    func(http.Header) Match
 	response chan *Response
 }
 
@@ -33,6 +35,7 @@
 	reader    *bufio.Reader
 	done      chan struct{} // closed when reading has ended
 	idleUntil time.Time     // guarded by pool.mu
+	used      bool          // a response was delivered; used by the reading goroutine only
 
 	mu              sync.Mutex
 	pending         *pendingRequest
@@ -74,8 +77,8 @@
 }
 
 // do sends a request and waits for its response. sent reports whether any byte may have been sent.
-func (c *clientConn) do(ctx context.Context, r *Request, matches func(http.Header) bool) (response *Response, sent bool, err error) {
-	pending := &pendingRequest{method: r.method, matches: matches, response: make(chan *Response, 1)}
+func (c *clientConn) do(ctx context.Context, r *Request, match func(http.Header) Match) (response *Response, sent bool, err error) {
+	pending := &pendingRequest{method: r.method, match: match, response: make(chan *Response, 1)}
 	c.mu.Lock()
 	if c.closed {
 		err := c.err
@@ -186,6 +189,7 @@
 			return
 		}
 		if response != nil {
+			c.used = true
 			c.deliver(pending, response, last)
 		}
 		if last {
@@ -221,9 +225,13 @@
 	if err != nil {
 		return nil, true, err
 	}
-	if !pending.matches(raw.Header) {
+	switch match := pending.match(raw.Header); {
+	case match == MatchOther:
 		c.reportStray()
 		return nil, raw.Close, nil
+	case match == MatchPossible && c.used:
+		c.reportStray()
+		return nil, true, errUnidentified
 	}
 	c.mu.Lock()
 	c.peerIdleTimeout = keepAliveTimeout(raw.Header)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -243,10 +243,18 @@
 	return p, dialled
 }
 
-// send sends a request with an ID and accepts only the response with that ID.
+// send sends a request with an ID and accepts only the response with that ID, or without any if that is certain enough.
 func send(ctx context.Context, p *exchange.Pool, to netip.AddrPort, id string, body []byte) (*exchange.Response, error) {
 	r := exchange.NewRequest(http.MethodPost, "/", "h", http.Header{idHeader: {id}}, body)
-	return p.Do(ctx, to, r, func(h http.Header) bool { return h.Get(idHeader) == id })
+	return p.Do(ctx, to, r, func(h http.Header) exchange.Match {
+		switch h.Get(idHeader) {
+		case id:
+			return exchange.MatchOwn
+		case "":
+			return exchange.MatchPossible
+		}
+		return exchange.MatchOther
+	})
 }
 
 func reply(conn net.Conn, id, body string) {
@@ -289,6 +297,35 @@
 	qt.Assert(t, dialled.Load(), qt.Equals, int32(1))
 }
 
+// TestRepeatedResponseWithoutIDIsNotTakenForTheNext has the server repeat responses that do not state their request.
+func TestRepeatedResponseWithoutIDIsNotTakenForTheNext(t *testing.T) {
+	addr := scriptedServer(t, func(conn net.Conn, br *bufio.Reader) {
+		previous := ""
+		for {
+			id, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			if previous != "" {
+				fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s", len(previous), previous)
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			previous = id
+		}
+	})
+	p, _ := newPool(t)
+	for i := range 6 {
+		id := fmt.Sprint(i)
+		response, err := send(t.Context(), p, addr, id, nil)
+		if err != nil {
+			qt.Assert(t, err, qt.ErrorIs, exchange.ErrBroken)
+			qt.Assert(t, exchange.NotSent(err), qt.IsFalse, qt.Commentf("the server may have run the request"))
+			continue
+		}
+		qt.Assert(t, string(response.Body()), qt.Equals, id)
+	}
+}
+
 // TestUnsolicitedBytesCloseConnection guards against taking data that arrives between requests for the next response.
 func TestUnsolicitedBytesCloseConnection(t *testing.T) {
 	addr := scriptedServer(t, func(conn net.Conn, br *bufio.Reader) {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -91,15 +91,29 @@
 	return p
 }
 
-// Do sends a request to a peer and returns the response for which matches returns true. Other responses are discarded,
-// since a peer may repeat an earlier response. Do never resends a request. The error is a *RequestError. If the context
+// Match is what a response shows about the request that it belongs to.
+type Match uint8
+
+// Values of Match.
+const (
+	// MatchOther means that the response belongs to another request.
+	MatchOther Match = iota
+	// MatchOwn means that the response belongs to the request.
+	MatchOwn
+	// MatchPossible means that the response does not show to which request it belongs.
+	MatchPossible
+)
+
+// Do sends a request to a peer and returns the response for which match returns MatchOwn. Responses to other requests are
+// discarded, since a peer may repeat an earlier response. For that reason MatchPossible is sufficient only for the first
+// response on a connection; later ones end the connection with an error. Do never resends a request. The error is a *RequestError. If the context
 // ends first, the connection is closed, which tells the peer to cancel the request.
-func (p *Pool) Do(ctx context.Context, to netip.AddrPort, r *Request, matches func(http.Header) bool) (*Response, error) {
+func (p *Pool) Do(ctx context.Context, to netip.AddrPort, r *Request, match func(http.Header) Match) (*Response, error) {
 	c, err := p.acquire(ctx, to)
 	if err != nil {
 		return nil, &RequestError{err: oops.In("exchange.dial").With("peer", to).Wrap(err)}
 	}
-	response, sent, err := c.do(ctx, r, matches)
+	response, sent, err := c.do(ctx, r, match)
 	if err != nil {
 		c.close()
 		return nil, &RequestError{sent: sent, err: oops.In("exchange.do").With("peer", to).Wrap(err)}
--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -81,7 +81,8 @@
 }
 
 // shed refuses a request without running it.
-func (*backend) shed(w http.ResponseWriter, _ *http.Request) {
+func (*backend) shed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bambooknot/bambooknot/balance"
+	"github.com/bambooknot/bambooknot/exchange"
 	"github.com/bambooknot/bambooknot/routing"
 )
 
@@ -140,8 +141,10 @@
 	return s
 }
 
-// resultMatches reports whether the response of another node belongs to the request.
-func resultMatches(h http.Header, requestID string) bool {
-	id, _, _ := strings.Cut(h.Get(headerResult), " ")
-	return id == url.QueryEscape(requestID)
+// resultMatch returns whether the response of another node belongs to the request.
+func resultMatch(h http.Header, requestID string) exchange.Match {
+	if id, _, _ := strings.Cut(h.Get(headerResult), " "); id == url.QueryEscape(requestID) {
+		return exchange.MatchOwn
+	}
+	return exchange.MatchOther
 }
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -290,7 +290,7 @@
 	if known := in.statementOf(to); !known.empty() {
 		r.Header().Set(headerServer, encodeStatement(known))
 	}
-	response, err := in.pool.Do(ctx, to, r, func(h http.Header) bool { return resultMatches(h, c.requestID) })
+	response, err := in.pool.Do(ctx, to, r, func(h http.Header) exchange.Match { return resultMatch(h, c.requestID) })
 	switch {
 	case exchange.NotSent(err):
 		return notRun(ReasonUnreachable)
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -296,7 +296,7 @@
 	defer cancel()
 	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller)
 	number := o.limit.send()
-	response, err := o.pool.Do(ctx, b.address, r, func(h http.Header) bool { return platform.MatchesAttempt(h, c.requestID) })
+	response, err := o.pool.Do(ctx, b.address, r, func(h http.Header) exchange.Match { return attemptMatch(platform.AnsweredAttempt(h), c.requestID) })
 	if err != nil {
 		return o.requestFailure(ctx, err)
 	}
@@ -310,6 +310,17 @@
 	return result
 }
 
+// attemptMatch returns what the attempt ID in a response shows about the request with the ID wanted.
+func attemptMatch(id, wanted string) exchange.Match {
+	switch id {
+	case wanted:
+		return exchange.MatchOwn
+	case "":
+		return exchange.MatchPossible
+	}
+	return exchange.MatchOther
+}
+
 // requestFailure returns the result of a request that ended with an error instead of a response.
 func (o *Owner) requestFailure(ctx context.Context, err error) Result {
 	switch {
