soak: servers that limit themselves, leave by their answers or answer twice; a store back from a copy

Limits and leaving are checked from what backend servers count and what callers were passed, not from logs. Copies come at once, or after the next request has arrived; half of the refusals carry no ID. The store returns from a copy after an outage, and the operator publishes again all lost versions or the newest one.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -43,6 +43,8 @@
 	draining       bool
 	leaveAckedAt   time.Time // when the node acknowledged the leave, or zero
 	reportsStopped bool      // set by a leave without a draining report
+	statement      statement // what the instance states about itself in its responses
+	copying        bool      // whether the instance sends each response twice
 }
 
 func newBackend(checker *checker, service string, listen netip.AddrPort, controlAddress string, rnd *rand.Rand) (*backend, error) {
@@ -78,6 +80,7 @@
 	b.startMillis = max(time.Now().UnixMilli(), b.startMillis+1)
 	b.instanceID = fmt.Sprintf("i-%s-%d", b.service, b.startMillis)
 	b.sequence, b.draining, b.leaveAckedAt, b.reportsStopped = 0, false, time.Time{}, false
+	b.statement, b.copying = statement{}, false
 }
 
 // report sends one heartbeat to the node of the backend server.
@@ -159,48 +162,77 @@
 	return strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(attempt+"/"+body))), 16)
 }
 
+// response is the response of a backend server to one request.
+type response struct {
+	status    int
+	header    http.Header
+	body      string
+	drop      bool // the connection breaks without a response
+	truncated bool
+}
+
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.sendsCopies() && r.URL.Path != "/health" {
+		b.serveCopies(w, r)
+		return
+	}
+	resp := b.handle(r)
+	if resp.drop {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range resp.header {
+		w.Header()[name] = values
+	}
+	if resp.truncated {
+		w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)+10))
+	}
+	w.WriteHeader(resp.status)
+	_, _ = io.WriteString(w, resp.body)
+}
+
+// handle runs a request, unless it refuses it, and returns the response.
+func (b *backend) handle(r *http.Request) response {
+	body, err := io.ReadAll(r.Body)
 	b.mu.Lock()
-	id, leaveAckedAt, draining := b.instanceID, b.leaveAckedAt, b.draining
+	id, leaveAckedAt, draining, stated := b.instanceID, b.leaveAckedAt, b.draining, b.statement
 	workTime := time.Duration(b.rnd.ExpFloat64() * float64(15*time.Millisecond))
 	outcome := b.rnd.IntN(100)
 	b.mu.Unlock()
-	w.Header().Set("X-Instance-Id", id)
-	if r.URL.Path == "/health" {
-		if draining {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-		return
-	}
+	resp := response{status: http.StatusOK, header: http.Header{"X-Instance-Id": {id}}}
+	stated.setHeaders(resp.header)
 	attempt := r.Header.Get("X-Attempt-Id")
-	body, err := io.ReadAll(r.Body)
+	if echoID := outcome%2 == 0; echoID {
+		resp.header.Set("X-Attempt-Id", attempt)
+	}
 	switch {
+	case r.URL.Path == "/health":
+		if draining || stated.leaving {
+			resp.status = http.StatusServiceUnavailable
+		}
+		return resp
 	case r.Header.Get("X-Target-Instance") != id:
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+		resp.status = http.StatusMisdirectedRequest
+		return resp
 	case err != nil:
-		return
-	case outcome < 2:
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return response{drop: true}
+	}
+	b.checkArrival(id, r)
+	if outcome < 2 {
+		resp.status = http.StatusServiceUnavailable
+		resp.header.Set("X-Not-Executed", "1")
+		return resp
 	}
 	b.checker.recordExecution(attempt, r)
 	if !leaveAckedAt.IsZero() && time.Since(leaveAckedAt) > drainLimit {
 		b.checker.fail("request %s reached instance %s %v after its leave was acknowledged", attempt, id, time.Since(leaveAckedAt))
 	}
 	time.Sleep(workTime)
-	answer := r.Method + " " + r.URL.Path + " " + string(body)
-	w.Header().Set("X-Attempt-Id", attempt)
-	w.Header().Set("X-Server-Seal", seal(attempt, answer))
-	if outcome < 4 {
-		panic(http.ErrAbortHandler) // drops the response
-	}
-	if outcome < 6 {
-		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+10)) // truncates the response
-	}
-	_, _ = io.WriteString(w, answer)
+	resp.body = r.Method + " " + r.URL.Path + " " + string(body)
+	resp.header.Set("X-Attempt-Id", attempt)
+	resp.header.Set("X-Server-Seal", seal(attempt, resp.body))
+	resp.drop, resp.truncated = outcome < 4, outcome >= 4 && outcome < 6
+	return resp
 }
 
 func (b *backend) close() {
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,12 +23,49 @@
 	counts          map[string]int    // requests, responses by status, and requests without response
 	lastFaultAt     time.Time         // last start or end of an unplanned fault anywhere
 	lastDisturbedAt map[int]time.Time // last event of each node, and of the store under storeIndex
+	knownSince      map[knowledge]time.Time
+}
+
+// knowledge is that a node has passed on a response in which an instance made a statement about itself.
+type knowledge struct {
+	node      int
+	instance  string
+	statement string
+}
+
+// nodeOf returns the node to which a caller sent a request.
+func nodeOf(attempt string) int {
+	var node int
+	if _, err := fmt.Sscanf(strings.TrimPrefix(attempt, "probe-"), "%d-", &node); err != nil {
+		return storeIndex
+	}
+	return node
+}
+
+// recordKnowledge records what a response that a node has passed on states about its server. The caller holds mu.
+func (c *checker) recordKnowledge(attempt string, h http.Header) {
+	for _, s := range []string{h.Get("Server-Limit"), strings.ReplaceAll(h.Get("Server-Leaving"), "1", "leaving")} {
+		k := knowledge{node: nodeOf(attempt), instance: h.Get("X-Instance-Id"), statement: s}
+		if since, known := c.knownSince[k]; s != "" && (!known || since.Before(c.lastDisturbedAt[k.node])) {
+			c.knownSince[k] = time.Now()
+		}
+	}
+}
+
+// knows reports whether the node of a request had passed on a statement of an instance before a time, and was not
+// disturbed since.
+func (c *checker) knows(attempt, instance, statement string, before time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := knowledge{node: nodeOf(attempt), instance: instance, statement: statement}
+	since, known := c.knownSince[k]
+	return known && since.Before(before) && c.lastDisturbedAt[k.node].Before(since)
 }
 
 func newChecker() *checker {
 	return &checker{
 		start: time.Now(), executions: make(map[string]int), rejectedAt: make(map[string]time.Time), safe: make(map[string]bool),
-		counts: make(map[string]int), lastDisturbedAt: make(map[int]time.Time),
+		counts: make(map[string]int), lastDisturbedAt: make(map[int]time.Time), knownSince: make(map[knowledge]time.Time),
 	}
 }
 
@@ -72,6 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[fmt.Sprint(status)]++
+	c.recordKnowledge(attempt, h)
 	switch {
 	case status == http.StatusServiceUnavailable:
 		c.rejectedAt[attempt] = time.Now()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -125,7 +125,7 @@
 func (f *fleet) storeAddress() string { return f.addrPort(storeIndex, portStore).String() }
 
 func (f *fleet) startStore() error {
-	p, err := rig.Start("store", filepath.Join(f.binDir, "standinlog"), "--listen", f.storeAddress(), "--keep", filepath.Join(f.dir, "store"), "--rate", "400")
+	p, err := rig.Start("store", filepath.Join(f.binDir, "standinlog"), "--listen", f.storeAddress(), "--rate", "400")
 	if err != nil {
 		return err
 	}
@@ -216,7 +216,32 @@
 func (f *fleet) publish() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	version := f.version + 1
+	if err := f.write(f.version + 1); err != nil {
+		return err
+	}
+	f.version, f.ackedAt = f.version+1, time.Now()
+	return nil
+}
+
+// publishAgain lets the store return and publishes the versions that it has lost, those after kept, or the newest of them
+// only.
+func (f *fleet) publishAgain(kept int, all bool, restore func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	restore()
+	first := kept + 1
+	if !all {
+		first = max(first, f.version)
+	}
+	for v := first; v <= f.version; v++ {
+		if err := f.write(v); err != nil {
+			f.checker.fail("publishing version %d again failed: %v", v, err)
+		}
+	}
+}
+
+// write appends the document of a version to the store.
+func (f *fleet) write(version int) error {
 	document := f.configDocument(version)
 	entry := append([]byte{byte(len("config"))}, "config"+document...)
 	body := append(binary.BigEndian.AppendUint32(nil, uint32(len(entry))), entry...)
@@ -228,7 +253,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("publish: status %d", resp.StatusCode)
 	}
-	f.version, f.ackedAt = version, time.Now()
 	return nil
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -15,7 +15,8 @@
 type schedule struct {
 	fleet       *fleet
 	rnd         *rand.Rand
-	plannedOnly bool // no faults
+	statements  *rand.Rand // for events that backend servers and the store bring about, so that rnd draws as for earlier seeds
+	plannedOnly bool       // no faults
 	wg          sync.WaitGroup
 
 	mu      sync.Mutex
@@ -24,13 +25,14 @@
 }
 
 func newSchedule(f *fleet, plannedOnly bool) *schedule {
-	return &schedule{fleet: f, rnd: rand.New(rand.NewPCG(f.seed, 7)), plannedOnly: plannedOnly, claimed: make(map[int]bool)}
+	return &schedule{fleet: f, rnd: rand.New(rand.NewPCG(f.seed, 7)), statements: rand.New(rand.NewPCG(f.seed, 8)), plannedOnly: plannedOnly, claimed: make(map[int]bool)}
 }
 
 // run starts events until the context ends, then waits for those in progress.
 func (s *schedule) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.startRandomEvent()
+		s.startStatementEvent()
 		time.Sleep(s.randomDuration(50*time.Millisecond, 900*time.Millisecond))
 	}
 	s.wg.Wait()
@@ -81,6 +83,62 @@
 	}
 }
 
+// startStatementEvent starts, half of the time, an event of what servers say about themselves, or a return of the store from
+// a copy.
+func (s *schedule) startStatementEvent() {
+	rnd := s.statements
+	node, kind, duration := rnd.IntN(len(s.fleet.nodes)), rnd.IntN(10), 3*time.Second+time.Duration(rnd.Int64N(int64(6*time.Second)))
+	backend := s.fleet.backends[node]
+	switch {
+	case kind < 2:
+		limit := []float64{0.3, 5.6, 8, 40}[rnd.IntN(4)]
+		s.onBackend(node, fmt.Sprintf("states a limit of %v for %v", limit, duration), func() { backend.limitFor(limit, duration) })
+	case kind == 2:
+		s.onBackend(node, "leaves by its responses", backend.leaveByResponses)
+	case kind == 3:
+		s.onBackend(node, fmt.Sprintf("sends responses twice for %v", duration), func() { backend.copyFor(duration) })
+	case kind == 4 && !s.plannedOnly:
+		s.restoreStore(time.Duration(rnd.Int64N(int64(3*time.Second))), time.Duration(rnd.Int64N(int64(2*time.Second))), rnd.IntN(2) == 0)
+	}
+}
+
+// onBackend runs an event of a backend server unless another one is in progress there.
+func (s *schedule) onBackend(node int, what string, run func()) {
+	if !s.claim(1000 + node) {
+		return
+	}
+	s.logEvent("node %d: backend server %s", node, what)
+	s.wg.Go(func() {
+		defer s.release(1000 + node)
+		run()
+	})
+}
+
+// restoreStore takes a copy of the store, and has the store return from it after an outage. The operator then publishes
+// again what was lost, all versions or the newest one only.
+func (s *schedule) restoreStore(age, away time.Duration, all bool) {
+	if !s.claim(storeIndex) {
+		return
+	}
+	s.logEvent("store: returns from a copy %v old after %v away; all versions are published again: %t", age, away, all)
+	s.wg.Go(func() {
+		defer s.release(storeIndex)
+		version, _ := s.fleet.newestVersion()
+		s.postStoreControl("copy")
+		time.Sleep(age)
+		s.fleet.checker.recordFault()
+		s.fleet.checker.recordDisturbance(storeIndex)
+		s.postStoreControl("outage?kind=drop")
+		time.Sleep(away)
+		s.fleet.publishAgain(version, all, func() {
+			s.postStoreControl("restore")
+			s.postStoreControl("outage?kind=off")
+		})
+		s.fleet.checker.recordDisturbance(storeIndex)
+		s.fleet.checker.recordFault()
+	})
+}
+
 // claim reports whether no event with the same target is in progress, and marks the target if so. The targets are the
 // index of a node, the same plus 1000 for its backend server and plus 2000 for its proxies, and storeIndex.
 func (s *schedule) claim(target int) bool {
