--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -36,6 +36,37 @@
 		time.Sleep(s.randomDuration(50*time.Millisecond, 900*time.Millisecond))
 	}
 	s.wg.Wait()
+	if !s.plannedOnly {
+		s.loseTwoVersions()
+	}
+}
+
+// loseTwoVersions ends the faults with a return of the store from a copy that lacks two versions. The newest one is published
+// again and another one follows, so that the store ends where readers had stopped.
+func (s *schedule) loseTwoVersions() {
+	s.logEvent("store: loses two versions; one is published again, and a new one")
+	f := s.fleet
+	kept, _ := f.newestVersion()
+	s.postStoreControl("copy")
+	for range 2 {
+		if err := f.publish(); err != nil {
+			f.checker.fail("publishing without a fault of the store: %v", err)
+		}
+	}
+	time.Sleep(time.Second)
+	f.checker.recordFault()
+	f.checker.recordDisturbance(storeIndex)
+	s.postStoreControl("outage?kind=drop")
+	time.Sleep(500 * time.Millisecond)
+	f.publishAgain(kept, false, func() {
+		s.postStoreControl("restore")
+		s.postStoreControl("outage?kind=off")
+	})
+	if err := f.publish(); err != nil {
+		f.checker.fail("publishing after the return of the store: %v", err)
+	}
+	f.checker.recordDisturbance(storeIndex)
+	f.checker.recordFault()
 }
 
 func (s *schedule) randomDuration(low, high time.Duration) time.Duration {
@@ -92,7 +123,13 @@
 	switch {
 	case kind < 2:
 		limit := []float64{0.3, 5.6, 8, 40}[rnd.IntN(4)]
-		s.onBackend(node, fmt.Sprintf("states a limit of %v for %v", limit, duration), func() { backend.limitFor(limit, duration) })
+		restarts := duration.Milliseconds()%2 == 0
+		s.onBackend(node, fmt.Sprintf("states a limit of %v for %v, with a restart of its node: %t", limit, duration, restarts), func() {
+			if restarts {
+				s.wg.Go(func() { s.restartDuringLimit(node) })
+			}
+			backend.limitFor(limit, duration)
+		})
 	case kind == 2:
 		s.onBackend(node, "leaves by its responses", backend.leaveByResponses)
 	case kind == 3:
@@ -102,6 +139,21 @@
 	}
 }
 
+// restartDuringLimit restarts the node of a limited server several times once the limit has to be kept.
+func (s *schedule) restartDuringLimit(node int) {
+	time.Sleep(limitNotice + toldNotice)
+	sig := syscall.SIGKILL
+	if s.plannedOnly {
+		sig = syscall.SIGTERM
+	}
+	for range 3 {
+		if s.claim(node) {
+			s.signalClaimed(node, sig, 0, 100*time.Millisecond)
+		}
+		time.Sleep(time.Second)
+	}
+}
+
 // onBackend runs an event of a backend server unless another one is in progress there.
 func (s *schedule) onBackend(node int, what string, run func()) {
 	if !s.claim(1000 + node) {
@@ -159,10 +211,13 @@
 
 // signal stops or kills a node and restarts it, or freezes it for the length of pause.
 func (s *schedule) signal(node int, sig syscall.Signal, pause time.Duration) {
-	if !s.claim(node) {
-		return
+	if s.claim(node) {
+		s.signalClaimed(node, sig, pause, s.randomDuration(20*time.Millisecond, 800*time.Millisecond))
 	}
-	down := s.randomDuration(20*time.Millisecond, 800*time.Millisecond)
+}
+
+// signalClaimed is signal for a node that is claimed. A node that stops is restarted after it was down for some time.
+func (s *schedule) signalClaimed(node int, sig syscall.Signal, pause, down time.Duration) {
 	s.logEvent("node %d: %v for %v", node, sig, max(pause, down))
 	s.wg.Go(func() {
 		defer s.release(node)
