soak: limited servers are slow

A limited server that answers in 15 ms shows a restarted node its limit before many requests have passed.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -197,6 +197,9 @@
 	b.mu.Lock()
 	id, leaveAckedAt, draining, stated := b.instanceID, b.leaveAckedAt, b.draining, b.statement
 	workTime := time.Duration(b.rnd.ExpFloat64() * float64(15*time.Millisecond))
+	if stated.limit > 0 {
+		workTime += limitedWorkTime
+	}
 	outcome := b.rnd.IntN(100)
 	b.mu.Unlock()
 	resp := response{status: http.StatusOK, header: http.Header{"X-Instance-Id": {id}}}
--- a/soak/statement.go
+++ b/soak/statement.go
@@ -17,6 +17,8 @@
 	limitWindow = 4 * time.Second
 	// toldNotice is the time after a node has passed on a response with a limit from which its requests count.
 	toldNotice = 500 * time.Millisecond
+	// limitedWorkTime is how much longer a backend server works on a request while it states a limit.
+	limitedWorkTime = 250 * time.Millisecond
 	// routeTimeout is the timeout of all routes.
 	routeTimeout = 1200 * time.Millisecond
 )
