command: handle signals before the settings are read

Until the settings were read SIGHUP had its default effect, which ends the process. TestSidecarSurvivesHangupWhileItStarts failed before (signal: hangup).

--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -45,6 +45,9 @@
 }
 
 func (c *sidecarCommand) Run(env Env, _ []string) int {
+	signals := make(chan os.Signal, 4) // from the start, as an unhandled SIGHUP ends the process
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	path := c.Settings
 	if path == "" {
 		path = os.Getenv(settingsEnv)
@@ -60,9 +63,6 @@
 	sink := node.NewLogSink(env.Out, clock)
 	defer sink.Close()
 	log := zerolog.New(sink).With().Timestamp().Str("vm", s.Name()).Logger()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	n, err := node.NewSidecar(path, s, clock, sink, log)
 	if err != nil {
 		fmt.Fprintln(env.Err, err)
--- /dev/null
+++ b/command/sidecar_test.go
@@ -0,0 +1,30 @@
+package command_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/command"
+)
+
+// TestSidecarSurvivesHangupWhileItStarts sends SIGHUP while the settings are being read.
+func TestSidecarSurvivesHangupWhileItStarts(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "settings")
+	c.Assert(syscall.Mkfifo(path, 0o600), qt.IsNil)
+	exit := make(chan int)
+	var out, errOut bytes.Buffer
+	go func() { exit <- command.Run([]string{"sidecar", "--settings", path}, &out, &errOut) }()
+	file, err := os.OpenFile(path, os.O_WRONLY, 0) // returns when the command reads the file
+	c.Assert(err, qt.IsNil)
+	c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+	_, err = file.WriteString("invalid")
+	c.Assert(err, qt.IsNil)
+	c.Assert(file.Close(), qt.IsNil)
+	c.Assert(<-exit, qt.Equals, command.ExitUsage)
+}
