routing, platform, member, setting: decode organisations, versions of servers and the bounds of new parts

Heartbeats carry the version of a server, which members announce if the fleet moves traffic between versions. Nothing acts on these yet.

--- a/member/member.go
+++ b/member/member.go
@@ -100,6 +100,7 @@
 	service string
 	state   ServerState
 	slots   int
+	version string
 }
 
 // NewServer returns a backend server of a service that runs up to slots calls at once.
@@ -116,6 +117,15 @@
 // Slots returns the number of calls that the server runs at once.
 func (s Server) Slots() int { return s.slots }
 
+// Version returns the version of the server's software, or "" if it is not known or the fleet does not use it.
+func (s Server) Version() string { return s.version }
+
+// WithVersion returns the same server with a version of its software.
+func (s Server) WithVersion(version string) Server {
+	s.version = version
+	return s
+}
+
 // WithState returns the same server in another state.
 func (s Server) WithState(state ServerState) Server {
 	s.state = state
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -249,6 +249,9 @@
 func (n *Sidecar) onServerChange(h presence.Heartbeat) {
 	n.owner.SetBackend(proxy.NewBackend(h.ID, h.Address, h.Server).WithStarted(h.Started))
 	server := h.Server
+	if !n.settings.Load().Rollouts().Enabled() {
+		server = server.WithVersion("")
+	}
 	if n.lifecycle.current() == message.StageDraining {
 		server = server.WithState(member.ServerDraining)
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -56,6 +56,7 @@
 	Priority      int
 	MaxAttempts   int
 	Services      []WeightedService
+	AuthExempt    bool
 }
 
 // Route describes how requests of one host and path prefix are handled.
@@ -101,6 +102,9 @@
 // Services returns the services that requests are distributed to. The caller must not modify the slice.
 func (r Route) Services() []WeightedService { return r.fields.Services }
 
+// AuthExempt reports whether requests need no API key of an organisation.
+func (r Route) AuthExempt() bool { return r.fields.AuthExempt }
+
 // ChooseService picks a service by weight, given a random number that is uniform in [0, 1).
 func (r Route) ChooseService(uniform float64) string {
 	remaining := uniform * float64(r.totalWeight)
@@ -144,10 +148,11 @@
 
 // Table is one complete version of the routes.
 type Table struct {
-	version  record.Version
-	hosts    map[string]map[string]Route // by host and path prefix
-	services map[string]Service
-	limits   Limits
+	version       record.Version
+	hosts         map[string]map[string]Route // by host and path prefix
+	services      map[string]Service
+	limits        Limits
+	organisations *Organisations // nil if requests need no API keys
 }
 
 // NewTable returns a table. Each route must have at least one service.
@@ -171,6 +176,16 @@
 // Limits returns the limits on what callers send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// WithOrganisations returns a copy of the table whose requests need API keys of organisations. It keeps organisations.
+func (t *Table) WithOrganisations(organisations *Organisations) *Table {
+	copied := *t
+	copied.organisations = organisations
+	return &copied
+}
+
+// Organisations returns the organisations, or nil if requests need no API keys.
+func (t *Table) Organisations() *Organisations { return t.organisations }
+
 // Service returns the service with the given name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/setting/sidecar.go
+++ b/setting/sidecar.go
@@ -25,6 +25,9 @@
 	maxRetention             = 30 * 24 * time.Hour
 	defaultRetryWindow       = 10 * time.Second
 	defaultFleetRetryShare   = 0.1
+	defaultRollbackTime      = 5 * time.Second
+	defaultQuotaWindow       = 5 * time.Second
+	defaultQuotaExcess       = 0.1
 	minDuration              = 10 * time.Millisecond
 	maxDuration              = 10 * time.Minute
 )
@@ -50,6 +53,8 @@
 	heartbeatInterval time.Duration
 	gracePeriod       time.Duration
 	retryBudget       RetryBudget
+	rollouts          RolloutBounds
+	quotas            QuotaBounds
 }
 
 // RetryBudget limits the retries that all nodes of a fleet make together.
@@ -68,6 +73,41 @@
 // Window returns the length of the window.
 func (r RetryBudget) Window() time.Duration { return r.window }
 
+// RolloutBounds limit what a bad version of a service may do. The zero value means that the fleet ignores versions.
+type RolloutBounds struct {
+	exposureShare float64
+	exposureSlack int
+	rollbackTime  time.Duration
+}
+
+// Enabled reports whether the fleet moves traffic between versions by orders of the operator.
+func (r RolloutBounds) Enabled() bool { return r.exposureShare > 0 }
+
+// ExposureShare returns the greatest share of a service's requests that may reach a bad version during a roll-out.
+func (r RolloutBounds) ExposureShare() float64 { return r.exposureShare }
+
+// ExposureSlack returns the number of requests that may reach a bad version in addition to the share.
+func (r RolloutBounds) ExposureSlack() int { return r.exposureSlack }
+
+// RollbackTime returns the time after the evidence against a bad version from which it may get no further request.
+func (r RolloutBounds) RollbackTime() time.Duration { return r.rollbackTime }
+
+// QuotaBounds state how exactly the nodes together have to keep to the quotas of organisations.
+type QuotaBounds struct {
+	window time.Duration
+	excess float64
+	slack  int
+}
+
+// Window returns the span within which the quotas hold.
+func (q QuotaBounds) Window() time.Duration { return q.window }
+
+// Excess returns the share by which the requests within a window may exceed the quota.
+func (q QuotaBounds) Excess() float64 { return q.excess }
+
+// Slack returns the number of requests within a window that are permitted in addition.
+func (q QuotaBounds) Slack() int { return q.slack }
+
 // LoadSidecar reads and validates the settings file of a sidecar. The error is a *tomldoc.FaultsError with every fault
 // of the file.
 func LoadSidecar(path string) (Sidecar, error) {
@@ -183,6 +223,16 @@
 		reserve: int(t.Int("retry_reserve", 0, 0, 1<<20)),
 		window:  t.Duration("retry_window", defaultRetryWindow, minDuration, maxDuration),
 	}
+	s.rollouts = RolloutBounds{
+		exposureShare: t.Float("exposure_share", 0, 0, 1),
+		exposureSlack: int(t.Int("exposure_slack", 0, 0, 1<<20)),
+		rollbackTime:  t.Duration("rollback", defaultRollbackTime, minDuration, maxDuration),
+	}
+	s.quotas = QuotaBounds{
+		window: t.Duration("quota_window", defaultQuotaWindow, minDuration, maxDuration),
+		excess: t.Float("quota_excess", defaultQuotaExcess, 0, 10),
+		slack:  int(t.Int("quota_slack", 0, 0, 1<<20)),
+	}
 }
 
 // Name returns the name of the VM in logs.
@@ -247,3 +297,9 @@
 
 // RetryBudget returns the limits of retries.
 func (s Sidecar) RetryBudget() RetryBudget { return s.retryBudget }
+
+// Rollouts returns the limits of roll-outs.
+func (s Sidecar) Rollouts() RolloutBounds { return s.rollouts }
+
+// Quotas returns how exactly quotas of organisations have to be kept.
+func (s Sidecar) Quotas() QuotaBounds { return s.quotas }
--- a/setting/sidecar_test.go
+++ b/setting/sidecar_test.go
@@ -27,6 +27,7 @@
 	"limits.memory_mb": "284", "limits.max_fds": "4100", "listen.outbound": "10.1.0.38:8147", "listen.control": "10.1.0.38:8144",
 	"listen.ready": "10.1.0.38:8141", "inner_ports": "7640,7655", "seeds": "10.1.0.30:8144,10.1.0.38:8144,10.2.0.3:8144", "platform.address": "10.200.1.7:8142", "platform.keep": "20s", "beat_interval": "870ms",
 	"bounds.grace": "6s", "bounds.retry_budget_ratio": "0.2", "bounds.budget_extra_tries": "62", "bounds.budget_window": "10s",
+	"bounds.exposure_share": "0.1", "bounds.exposure_slack": "50", "bounds.rollback": "4s", "bounds.quota_window": "6s", "bounds.quota_excess": "0.2", "bounds.quota_slack": "20",
 }
 
 // fillTemplate substitutes values in the template as the platform does: a section is omitted if its value is missing.
@@ -58,6 +59,7 @@
 	for _, name := range []string{
 		"limits.memory_mb", "limits.max_fds", "platform.keep", "beat_interval",
 		"bounds.grace", "bounds.retry_budget_ratio", "bounds.budget_extra_tries", "bounds.budget_window",
+		"bounds.exposure_share", "bounds.exposure_slack", "bounds.rollback", "bounds.quota_window", "bounds.quota_excess", "bounds.quota_slack",
 	} {
 		delete(values, name)
 	}
@@ -65,6 +67,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.GracePeriod(), qt.Equals, 6*time.Second)
 	c.Assert(s.RetryBudget().Reserve(), qt.Equals, 0)
+	c.Assert(s.Rollouts().Enabled(), qt.IsFalse)
+	c.Assert(s.Quotas().Window(), qt.Equals, 5*time.Second)
 }
 
 // TestTemplate checks the settings from a template with all values.
@@ -79,6 +83,11 @@
 	c.Assert(s.PeerAddress().String(), qt.Equals, "10.1.0.38:7640")
 	c.Assert(s.MetricsAddress().String(), qt.Equals, "10.1.0.38:9464")
 	c.Assert(s.MemoryLimit(), qt.Equals, int64(284<<20))
+	c.Assert(s.Rollouts().ExposureShare(), qt.Equals, 0.1)
+	c.Assert(s.Rollouts().ExposureSlack(), qt.Equals, 50)
+	c.Assert(s.Rollouts().RollbackTime(), qt.Equals, 4*time.Second)
+	c.Assert(s.Quotas().Excess(), qt.Equals, 0.2)
+	c.Assert(s.Quotas().Slack(), qt.Equals, 20)
 	c.Assert(s.MaxDescriptors(), qt.Equals, 4100)
 	c.Assert(s.HeartbeatInterval(), qt.Equals, 870*time.Millisecond)
 	c.Assert(fmt.Sprint(s.Hints()), qt.Equals, "[10.1.0.30:7640 10.2.0.3:7640]")
--- a/wire/claims.go
+++ b/wire/claims.go
@@ -22,7 +22,7 @@
 	Region       uint16
 	Domain       uint16
 	Health       uint8
-	Service      uint16
+	Service      uint32 // index of the service; in the upper half the index of the version + 1, or 0 without a version
 	State        uint8
 	Slots        uint32
 	NewestSchema uint16
@@ -48,18 +48,29 @@
 	if err != nil {
 		return claimRow{}, err
 	}
-	region, domain, service := string(m.Place().Region()), string(m.Place().FailureDomain()), m.Server().Service()
-	if max(len(region), len(domain), len(service)) > message.MaxNameBytes {
+	region, domain, service, version := string(m.Place().Region()), string(m.Place().FailureDomain()), m.Server().Service(), m.Server().Version()
+	if max(len(region), len(domain), len(service), len(version)) > message.MaxNameBytes {
 		return claimRow{}, errFieldRange
 	}
 	return claimRow{
 		Peer: peer, Incarnation: uint64(m.Key().Incarnation()), Revision: m.Revision(),
 		Region: w.index(region), Domain: w.index(domain), Health: uint8(m.Health()),
-		Service: w.index(service), State: uint8(m.Server().State()),
+		Service: w.serviceIndex(service, version), State: uint8(m.Server().State()),
 		Slots: uint32(m.Server().Slots()), NewestSchema: uint16(m.NewestSchema()),
 	}, nil
 }
 
+// versionShift is the position of the version in claimRow.Service.
+const versionShift = 16
+
+func (w *claimsWire) serviceIndex(service, version string) uint32 {
+	index := uint32(w.index(service))
+	if version != "" {
+		index |= (uint32(w.index(version)) + 1) << versionShift
+	}
+	return index
+}
+
 func (w *claimsWire) index(name string) uint16 {
 	for i, known := range w.Names {
 		if known == name {
@@ -95,7 +106,8 @@
 	if err != nil {
 		return member.Member{}, err
 	}
-	if int(max(row.Region, row.Domain, row.Service)) >= len(w.Names) {
+	serviceIndex, versionIndex := row.Service&(1<<versionShift-1), row.Service>>versionShift
+	if int(max(uint32(row.Region), uint32(row.Domain), serviceIndex)) >= len(w.Names) || int(versionIndex) > len(w.Names) {
 		return member.Member{}, errFieldRange
 	}
 	health, state := member.Health(row.Health), member.ServerState(row.State)
@@ -104,7 +116,10 @@
 	}
 	place := member.NewPlace(member.Region(w.Names[row.Region]), member.FailureDomain(w.Names[row.Domain]))
 	key := member.NewKey(peer, member.Incarnation(row.Incarnation))
-	server := member.NewServer(w.Names[row.Service], state, int(row.Slots))
+	server := member.NewServer(w.Names[serviceIndex], state, int(row.Slots))
+	if versionIndex > 0 {
+		server = server.WithVersion(w.Names[versionIndex-1])
+	}
 	return member.New(key, place, record.Schema(row.NewestSchema)).
 		WithRevision(row.Revision).WithHealth(health).WithServer(server), nil
 }
