proxy: run nested requests first, and space large responses to the link

A node now recognises what its server sends while it runs another request. Such nested requests get slots before all others and may wait until they could no longer finish. The links of the 10 VMs of a small service carry 17 Mbit/s each and were offered more: responses of 90 kB filled their queues, and small responses and control traffic waited behind them for seconds. Both tests failed before.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -117,7 +117,7 @@
 	n.bodies = bodies
 	n.quarantine = newQuarantineView(n.log, n.clock, s.MetricsAddress().Addr(), n.post)
 	n.owner = proxy.NewOwner(proxy.OwnerSettings{
-		Timers: n.clock, Log: n.log, AnsweredLog: routine, Scope: scope, Budget: bodies, OnLeaving: n.onServerLeaving, OnEnded: n.onServerEnded,
+		Timers: n.clock, Log: n.log, AnsweredLog: routine, Scope: scope, Budget: bodies, LinkBytesPerSecond: s.LinkBytesPerSecond(), OnLeaving: n.onServerLeaving, OnEnded: n.onServerEnded,
 		Quarantine: n.quarantine.load, OnCrash: n.quarantine.onCrash, OnCleared: n.quarantine.onCleared, OnTrial: n.quarantine.onTrial,
 	})
 	n.ingress = proxy.NewIngress(proxy.IngressSettings{
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -32,6 +32,7 @@
 	priority     int           // of the route; 0 is the most urgent
 	timeLeft     time.Duration // until the deadline of the request
 	timeToTarget time.Duration // until the target latency is exceeded; negative afterwards
+	nested       bool          // whether a server made the request while it was running another one
 	trial        int           // number of the trial if the request is quarantined; not part of the encoded form
 }
 
@@ -42,11 +43,27 @@
 
 func encodeCall(c Call) string {
 	return strings.Join([]string{
-		url.QueryEscape(c.requestID), url.QueryEscape(c.service), url.QueryEscape(c.caller), strconv.Itoa(int(c.kind)), strconv.Itoa(c.priority),
+		url.QueryEscape(c.requestID), url.QueryEscape(c.service), url.QueryEscape(c.caller), strconv.Itoa(int(c.kind)), strconv.Itoa(encodePriority(c)),
 		strconv.FormatInt(c.timeLeft.Milliseconds(), 10), strconv.FormatInt(c.timeToTarget.Milliseconds(), 10),
 	}, " ")
 }
 
+// encodePriority returns the priority of a request, or a negative number for a nested one. Nodes that do not distinguish
+// nested requests take negative numbers for the most urgent priority.
+func encodePriority(c Call) int {
+	if c.nested {
+		return -c.priority - 1
+	}
+	return c.priority
+}
+
+func decodePriority(encoded int) (priority int, nested bool) {
+	if encoded < 0 {
+		return -encoded - 1, true
+	}
+	return encoded, false
+}
+
 var errMalformedCall = errors.New("malformed call header")
 
 func decodeCall(line string) (Call, error) {
@@ -64,8 +81,9 @@
 	if err := errors.Join(err1, err2, err3, err4, err5, err6, err7); err != nil {
 		return Call{}, errors.Join(errMalformedCall, err)
 	}
+	priority, nested := decodePriority(priority)
 	return Call{
-		requestID: requestID, service: service, caller: caller, kind: routing.Kind(kind), priority: priority,
+		requestID: requestID, service: service, caller: caller, kind: routing.Kind(kind), priority: priority, nested: nested,
 		timeLeft: time.Duration(timeLeft) * time.Millisecond, timeToTarget: time.Duration(timeToTarget) * time.Millisecond,
 	}, nil
 }
--- a/proxy/header_test.go
+++ b/proxy/header_test.go
@@ -18,6 +18,10 @@
 	got, err := decodeCall(encodeCall(c))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, got, qt.Equals, c)
+	c.nested, c.priority = true, 0
+	got, err = decodeCall(encodeCall(c))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, c)
 	for _, line := range []string{"", "a", "a s c x 1 2 3", "a s c 1 1 2", "a s c 1 1 2 3 4", "%zz s c 1 1 2 3"} {
 		_, err := decodeCall(line)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", line))
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -109,6 +109,7 @@
 	if q.id == "" {
 		return in.refuse(q, http.StatusBadRequest, "no_id"), q
 	}
+	q.nested = in.settings.Owner.isNested(q.id)
 	q.snapshot = in.awaitRoutes(ctx, q)
 	if q.snapshot == nil {
 		return in.giveUp(q, notRun(ReasonNoRoutes)), q
@@ -151,6 +152,7 @@
 	serverAttempts      int           // attempts that may have reached a server
 	serverCrashes       int           // of these, attempts at whose end the server's process had ended
 	identity            *identity
+	nested              bool          // whether the server on the VM made the request while it was running another one
 	trial               int           // number of the trial, if the request is quarantined and sent as one
 	lastAttemptTime     time.Duration // duration of the last of these
 	earlierAttemptsTime time.Duration // from receipt to the start of the last attempt
@@ -163,7 +165,7 @@
 	return Call{
 		requestID: q.id, service: q.service, caller: caller, kind: q.route.Kind(), priority: q.route.Priority(),
 		timeLeft: q.deadline().Sub(now), timeToTarget: q.firstReceivedAt.Add(q.route.TargetLatency()).Sub(now),
-		trial: q.trial,
+		nested: q.nested, trial: q.trial,
 	}
 }
 
@@ -371,7 +373,7 @@
 		return balance.ResultNone
 	case r.reason == ReasonDraining, r.reason == ReasonNoServer, r.reason == ReasonOtherServer:
 		return balance.ResultDraining
-	case r.reason == ReasonFull, r.reason == ReasonSlow, r.reason == ReasonShed:
+	case r.reason == ReasonFull, r.reason == ReasonSlow, r.reason == ReasonLink, r.reason == ReasonShed:
 		return balance.ResultRefused
 	}
 	return balance.ResultFailed
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -39,6 +39,8 @@
 	limit         *serverLimit
 	crashes       *crash.Monitor
 	trials        *quarantine.Claims
+	running       *runningRequests
+	egress        *egressPacer
 	pool          *exchange.Pool
 	backend       atomic.Pointer[Backend]
 	scope         tally.Scope
@@ -54,6 +56,8 @@
 		settings:      s,
 		runTimes:      newRunTimeEstimator(),
 		trials:        quarantine.NewClaims(),
+		running:       newRunningRequests(),
+		egress:        newEgressPacer(s.Timers, s.LinkBytesPerSecond),
 		admission:     admission.New(admission.Settings{QueueLimit: maxQueue, MaxWait: maxQueueWait}, 1, s.Timers),
 		pool: exchange.NewPool(exchange.PoolSettings{
 			Dial: s.Dial, DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdlePerPeer: serverIdleConnections,
@@ -161,7 +165,7 @@
 	r.Header().Del(headerCall)
 	r.Header().Del(headerServer)
 	r.Header().Del(headerTrial)
-	result := o.Serve(ctx, c, r)
+	result := o.servePaced(ctx, c, r)
 	response := result.response
 	if response == nil {
 		response = exchange.NewResponse(http.StatusServiceUnavailable, nil, nil)
@@ -173,6 +177,25 @@
 	return response
 }
 
+// servePaced is Serve for a request of another node, whose response has to fit on the link of the VM.
+func (o *Owner) servePaced(ctx context.Context, c Call, r *exchange.Request) Result {
+	start := o.settings.Timers.Now()
+	size, wait, ok := o.egress.admit(c, latestResponse(start, c))
+	if !ok {
+		result := notRun(ReasonLink)
+		result.retryAfter = min(max(wait, minRetryAfter), maxRetryAfter)
+		result.load, result.statement = o.load(), o.statement()
+		o.recordResult(c, result, start)
+		return result
+	}
+	result := o.Serve(ctx, c, r)
+	o.egress.release(size)
+	if result.response != nil {
+		o.egress.await(ctx, c, len(result.response.Body()))
+	}
+	return result
+}
+
 // Serve runs a request at the server on the VM, at most once.
 func (o *Owner) Serve(ctx context.Context, c Call, r *exchange.Request) Result {
 	start := o.settings.Timers.Now()
@@ -259,6 +282,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
 	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller)
+	o.running.start(c.requestID)
+	defer o.running.finish(c.requestID)
 	number := o.limit.send()
 	response, err := o.pool.Do(ctx, b.address, r, func(h http.Header) exchange.Match { return attemptMatch(platform.AnsweredAttempt(h), c.requestID) })
 	if err != nil {
--- a/proxy/ownersettings.go
+++ b/proxy/ownersettings.go
@@ -21,6 +21,8 @@
 	AnsweredLog zerolog.Logger // for answered requests
 	Scope       tally.Scope
 	Budget      *exchange.Budget // of the memory for responses; nil for no bound
+	// LinkBytesPerSecond is what the link of the VM carries; 0 for no limit.
+	LinkBytesPerSecond float64
 	// OnLeaving is called when the response to a request, or the node of a caller, shows that the server is about to leave.
 	// It must make the server draining with SetBackend. Nil means that this is ignored.
 	OnLeaving func(server Backend, requestID string)
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -16,10 +16,18 @@
 // maxPriorityRank is the least urgent route priority that the queue distinguishes.
 const maxPriorityRank = 15
 
+// nestedPriority is the priority of nested requests, above those of all routes.
+const nestedPriority = admission.Priority(2*maxPriorityRank + 2)
+
 // queuePriority maps the priority of a route, of which 0 is the most urgent, to a priority in the queue. Under overload,
 // a request whose target latency has passed, such as a caller's second attempt, yields to those of its route priority that
 // can still be answered in time: a slot given to it would make another one late, too.
+//
+// Nested requests come first: their parents hold slots of other servers meanwhile, and fail if one of them is refused.
 func queuePriority(c Call) admission.Priority {
+	if c.nested {
+		return nestedPriority
+	}
 	rank := admission.Priority(maxPriorityRank - min(max(c.priority, 0), maxPriorityRank))
 	if c.timeToTarget <= 0 {
 		return 2 * rank
@@ -30,8 +38,12 @@
 // latestStart returns the time by which a request must start to run, given the upper bound of its run time. Under
 // overload, a request that is unlikely to meet its target latency is refused early, while the caller can still try another
 // server or retry later, and the slots go to requests that can meet their target. A request whose target has passed
-// already may wait as long as it can still finish before its deadline.
+// already may wait as long as it can still finish before its deadline. So may a nested request, as only the latency of its
+// parent counts, whose run would be lost.
 func latestStart(now time.Time, c Call, maxRunTime time.Duration) time.Time {
+	if c.nested {
+		return now.Add(max(c.timeLeft-maxRunTime, c.timeLeft/minWaitDivisor))
+	}
 	if c.timeToTarget <= 0 {
 		return now.Add(max(c.timeLeft-maxRunTime, minTimeToStart))
 	}
@@ -39,6 +51,15 @@
 	return now.Add(min(maxWait, c.timeLeft))
 }
 
+// latestResponse returns the time by which the response to a request has to leave the node: within the target latency as
+// long as that has not passed.
+func latestResponse(now time.Time, c Call) time.Time {
+	if c.timeToTarget > 0 && !c.nested {
+		return now.Add(min(c.timeToTarget, c.timeLeft))
+	}
+	return now.Add(c.timeLeft)
+}
+
 // cannotFinish reports whether a request would miss its deadline even if it started immediately, given the lower bound of
 // its run time. Such requests are made near the deadline of a parent request; they would take slots from others and then
 // be abandoned.
--- a/proxy/queueing_test.go
+++ b/proxy/queueing_test.go
@@ -24,6 +24,8 @@
 		c := Call{timeLeft: test.timeLeft, timeToTarget: test.timeToTarget}
 		qt.Check(t, latestStart(now, c, test.maxRunTime).Sub(now), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
+	nested := Call{timeLeft: 500 * time.Millisecond, timeToTarget: 150 * time.Millisecond, nested: true}
+	qt.Check(t, latestStart(now, nested, 200*time.Millisecond).Sub(now), qt.Equals, 300*time.Millisecond)
 }
 
 // TestSlowSampleDoesNotLockOutClass guards against refusing a rare, urgent class permanently after its first request was
--- a/proxy/result.go
+++ b/proxy/result.go
@@ -45,6 +45,7 @@
 	ReasonDraining         Reason = "draining"     // the server accepts no new requests, or its node is shutting down
 	ReasonFull             Reason = "full"         // the request would not get a slot in time
 	ReasonSlow             Reason = "slow"         // the server is so slow that the request would not finish in time
+	ReasonLink             Reason = "link"         // the link of the VM would not carry the response in time
 	ReasonShed             Reason = "shed"         // the server refused the request
 	ReasonUnreachable      Reason = "unreachable"  // no connection to the server or its node
 	ReasonOtherServer      Reason = "other_server" // the address belongs to another server or service
--- a/setting/sidecar.go
+++ b/setting/sidecar.go
@@ -16,6 +16,7 @@
 const (
 	minMemoryMB              = 32
 	maxMemoryMB              = 1 << 20
+	maxLinkMbps              = 1e6
 	minDescriptorLimit       = 256
 	maxDescriptorLimit       = 1 << 20
 	defaultHeartbeatInterval = 1500 * time.Millisecond
@@ -42,6 +43,7 @@
 	firstStart        bool
 	memoryLimit       int64
 	maxDescriptors    int
+	linkMbps          float64
 	callerAddress     netip.AddrPort
 	heartbeatAddress  netip.AddrPort
 	readinessAddress  netip.AddrPort
@@ -159,6 +161,7 @@
 	s.service = t.Text("service", "")
 	s.firstStart = t.Bool("first_start", false)
 	s.memoryLimit = t.Int("memory_mb", 256, minMemoryMB, maxMemoryMB) << 20
+	s.linkMbps = t.Float("link_mbps", 0, 0, maxLinkMbps)
 	s.maxDescriptors = int(t.Int("descriptors", 1024, minDescriptorLimit, maxDescriptorLimit))
 }
 
@@ -254,6 +257,9 @@
 // MaxDescriptors returns the maximum number of files and sockets that the process may have open.
 func (s Sidecar) MaxDescriptors() int { return s.maxDescriptors }
 
+// LinkBytesPerSecond returns what the link of the VM carries, 0 for no limit.
+func (s Sidecar) LinkBytesPerSecond() float64 { return s.linkMbps * 1e6 / 8 }
+
 // CallerAddress returns the address for requests that originate on the VM.
 func (s Sidecar) CallerAddress() netip.AddrPort { return s.callerAddress }
 
