proxy, platform: authenticate requests of organisations by their API keys

The operator's document may hold organisations, but nothing acted on them: any caller was served, and a key or a made-up X-Tenant reached the servers.

If the table of a request has organisations, the ingress reads the key after it has matched the route, and answers 401 without a valid one, unless the route is exempt. Authorization is removed from all requests under such a table, and X-Tenant of callers from all requests. The node next to the server sets X-Tenant to the organisation's name. Bn-Call carries the name and priority of the organisation as an eighth field, which calls without an organisation lack, so that older nodes still understand those. In the queue, the organisation's priority goes before the route's; run times and pace stay by route. The organisation replaces the key in the identity of quarantined requests, as the node next to the server no longer sees the key.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// Priority orders calls in the queue. A greater value is more urgent, in contrast to the priority of a routing.Route.
-type Priority uint8
+// Priority orders calls in the queue. A greater value is more urgent, in contrast to the priority of a routing.Route. It
+// consists of a level and of a rank within the level.
+type Priority uint16
+
+// NewPriority returns a priority. The level goes before the rank.
+func NewPriority(level, rank uint8) Priority { return Priority(level)<<8 | Priority(rank) }
 
 // Priorities of idempotent and keyed calls. Package proxy derives its priorities from routes instead.
 const (
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -30,6 +30,7 @@
 	caller       string // service on the VM of the caller
 	kind         routing.Kind
 	priority     int           // of the route; 0 is the most urgent
+	organisation organisation  // that sent the request; the zero value if none did
 	timeLeft     time.Duration // until the deadline of the request
 	timeToTarget time.Duration // until the target latency is exceeded; negative afterwards
 	trial        int           // number of the trial if the request is quarantined; not part of the encoded form
@@ -38,20 +39,29 @@
 // RequestID returns the ID of the request: the attempt ID that the caller sent, which differs when the caller retries.
 func (c Call) RequestID() string { return c.requestID }
 
-const callFields = 7
+// Numbers of fields of an encoded call. Only the calls of organisations have the last one, so that nodes that do not know
+// it yet understand all others.
+const (
+	callFields             = 7
+	callFieldsOrganisation = 8
+)
 
 func encodeCall(c Call) string {
-	return strings.Join([]string{
+	fields := []string{
 		url.QueryEscape(c.requestID), url.QueryEscape(c.service), url.QueryEscape(c.caller), strconv.Itoa(int(c.kind)), strconv.Itoa(c.priority),
 		strconv.FormatInt(c.timeLeft.Milliseconds(), 10), strconv.FormatInt(c.timeToTarget.Milliseconds(), 10),
-	}, " ")
+	}
+	if c.organisation != (organisation{}) {
+		fields = append(fields, c.organisation.encode())
+	}
+	return strings.Join(fields, " ")
 }
 
 var errMalformedCall = errors.New("malformed call header")
 
 func decodeCall(line string) (Call, error) {
 	fields := strings.Split(line, " ")
-	if len(fields) != callFields {
+	if len(fields) != callFields && len(fields) != callFieldsOrganisation {
 		return Call{}, errMalformedCall
 	}
 	requestID, err1 := url.QueryUnescape(fields[0])
@@ -61,12 +71,17 @@
 	priority, err5 := strconv.Atoi(fields[4])
 	timeLeft, err6 := strconv.ParseInt(fields[5], 10, 64)
 	timeToTarget, err7 := strconv.ParseInt(fields[6], 10, 64)
-	if err := errors.Join(err1, err2, err3, err4, err5, err6, err7); err != nil {
+	var sender organisation
+	var err8 error
+	if len(fields) == callFieldsOrganisation {
+		sender, err8 = decodeOrganisation(fields[callFields])
+	}
+	if err := errors.Join(err1, err2, err3, err4, err5, err6, err7, err8); err != nil {
 		return Call{}, errors.Join(errMalformedCall, err)
 	}
 	return Call{
 		requestID: requestID, service: service, caller: caller, kind: routing.Kind(kind), priority: priority,
-		timeLeft: time.Duration(timeLeft) * time.Millisecond, timeToTarget: time.Duration(timeToTarget) * time.Millisecond,
+		organisation: sender, timeLeft: time.Duration(timeLeft) * time.Millisecond, timeToTarget: time.Duration(timeToTarget) * time.Millisecond,
 	}, nil
 }
 
--- a/proxy/header_test.go
+++ b/proxy/header_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -18,7 +19,12 @@
 	got, err := decodeCall(encodeCall(c))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, got, qt.Equals, c)
-	for _, line := range []string{"", "a", "a s c x 1 2 3", "a s c 1 1 2", "a s c 1 1 2 3 4", "%zz s c 1 1 2 3"} {
+	qt.Assert(t, strings.Count(encodeCall(c), " "), qt.Equals, 6, qt.Commentf("older nodes must understand calls without an organisation"))
+	c.organisation = organisation{name: "a b:c", priority: 2}
+	got, err = decodeCall(encodeCall(c))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, c)
+	for _, line := range []string{"", "a", "a s c 1 1 2 3 0:x y", "a s c 1 1 2 3 x:y", "a s c 1 1 2 3 0:%z", "a s c x 1 2 3", "a s c 1 1 2", "a s c 1 1 2 3 4", "%zz s c 1 1 2 3"} {
 		_, err := decodeCall(line)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", line))
 	}
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -119,6 +119,9 @@
 		return in.refuse(q, http.StatusNotFound, "no_route"), q
 	}
 	q.route = route
+	if reason, ok := q.authenticate(); !ok {
+		return in.refuseUnauthenticated(q, reason), q
+	}
 	q.timeout, q.callerTimeout = route.Timeout(), route.Timeout()
 	if timeout, stated := info.Timeout(); stated {
 		q.timeout, q.callerTimeout = min(q.timeout, timeout), timeout
@@ -144,6 +147,7 @@
 	firstReceivedAt     time.Time // of the caller's first attempt; before receivedAt if this is a retry
 	snapshot            *routing.Snapshot
 	route               routing.Route
+	organisation        organisation // that sent the request; the zero value if none did
 	service             string
 	timeout             time.Duration // from receipt to deadline
 	callerTimeout       time.Duration // from receipt until the caller stops waiting and retrying
@@ -161,7 +165,7 @@
 // call returns the metadata for the node on the server's VM.
 func (q *request) call(now time.Time, caller string) Call {
 	return Call{
-		requestID: q.id, service: q.service, caller: caller, kind: q.route.Kind(), priority: q.route.Priority(),
+		requestID: q.id, service: q.service, caller: caller, kind: q.route.Kind(), priority: q.route.Priority(), organisation: q.organisation,
 		timeLeft: q.deadline().Sub(now), timeToTarget: q.firstReceivedAt.Add(q.route.TargetLatency()).Sub(now),
 		trial: q.trial,
 	}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -191,6 +191,7 @@
 		return notRun(ReasonDraining)
 	}
 	id := newIdentity(c.caller, r)
+	id.organisation = c.organisation.name
 	if refusal, refused := o.checkQuarantine(c, id); refused {
 		return refusal
 	}
@@ -258,7 +259,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
-	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller)
+	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller, c.organisation.name)
 	number := o.limit.send()
 	response, err := o.pool.Do(ctx, b.address, r, func(h http.Header) exchange.Match { return attemptMatch(platform.AnsweredAttempt(h), c.requestID) })
 	if err != nil {
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -12,10 +12,11 @@
 
 // identity computes the identity of a request when it is first needed. It is not safe for concurrent use.
 type identity struct {
-	service string // that sends the request
-	request *exchange.Request
-	known   bool
-	value   quarantine.Request
+	service      string // that sends the request
+	organisation string // that sends the request, or ""
+	request      *exchange.Request
+	known        bool
+	value        quarantine.Request
 }
 
 func newIdentity(service string, r *exchange.Request) *identity {
@@ -26,7 +27,11 @@
 	if !i.known {
 		r := i.request
 		content := quarantine.NewContent(r.Method(), r.Host(), r.Target(), r.Body())
-		i.value = quarantine.NewRequest(content, quarantine.NewCaller(i.service, r.Header().Get("Authorization"), r.Header().Get("Cookie")))
+		credentials := []string{r.Header().Get("Authorization"), r.Header().Get("Cookie")}
+		if i.organisation != "" {
+			credentials = append(credentials, i.organisation) // in place of the key, which is not passed on
+		}
+		i.value = quarantine.NewRequest(content, quarantine.NewCaller(i.service, credentials...))
 		i.known = true
 	}
 	return i.value
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -13,18 +13,24 @@
 	maxQueueWait = 5 * time.Second
 )
 
-// maxPriorityRank is the least urgent route priority that the queue distinguishes.
+// maxPriorityRank is the least urgent priority of organisations and of routes that the queue distinguishes.
 const maxPriorityRank = 15
 
-// queuePriority maps the priority of a route, of which 0 is the most urgent, to a priority in the queue. Under overload,
-// a request whose target latency has passed, such as a caller's second attempt, yields to those of its route priority that
-// can still be answered in time: a slot given to it would make another one late, too.
+// queuePriority maps the priorities of a request's organisation and route, of which 0 is the most urgent, to a priority in
+// the queue; that of the organisation goes first. Under overload, a request whose target latency has passed, such as a
+// caller's second attempt, yields to those of its route priority that can still be answered in time: a slot given to it
+// would make another one late, too.
 func queuePriority(c Call) admission.Priority {
-	rank := admission.Priority(maxPriorityRank - min(max(c.priority, 0), maxPriorityRank))
-	if c.timeToTarget <= 0 {
-		return 2 * rank
+	rank := 2 * priorityRank(c.priority)
+	if c.timeToTarget > 0 {
+		rank++
 	}
-	return 2*rank + 1
+	return admission.NewPriority(priorityRank(c.organisation.priority), rank)
+}
+
+// priorityRank returns a rank in the queue, of which the greatest is the most urgent.
+func priorityRank(priority int) uint8 {
+	return uint8(maxPriorityRank - min(max(priority, 0), maxPriorityRank)) //nolint:gosec // at most 15
 }
 
 // latestStart returns the time by which a request must start to run, given the upper bound of its run time. Under
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -7,6 +7,7 @@
 
 	"github.com/bambooknot/bambooknot/exchange"
 	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/platform"
 )
 
 // finish returns the response to the caller for the result of the last attempt.
@@ -62,6 +63,13 @@
 	return exchange.NewResponse(status, nil, nil)
 }
 
+// refuseUnauthenticated returns the response to a request without a valid API key.
+func (in *Ingress) refuseUnauthenticated(q *request, reason string) *exchange.Response {
+	response := in.refuse(q, http.StatusUnauthorized, reason)
+	platform.SetChallenge(response.Header())
+	return response
+}
+
 // version returns the version of the routing table, or 0 without one.
 func (q *request) version() uint64 {
 	if q.snapshot == nil {
