admission, proxy: queue the calls of organisations fairly

Cause: the queue next to a server knows priorities only.

Change: calls belong to flows, one for each organisation. Within a level of priority, that of the organisation, each call has a tag by start-time fair queueing, with a credit of 4 rounds. Within a round and a flow, calls are ordered by the priority of the route and by arrival. The queue estimates waits, refuses and displaces by that order. Calls that others delay so much that they would start too late are refused at once. Wait ratios are kept by flow, as those of the loud one made the queue refuse others. Flows without queued calls are forgotten.

Ruled out: tags within each priority of routes.

Each new test was seen failing with one flow, without the refusal of delayed calls, with displacement by priority only, with a lost flow after a displacement, with tags within each priority, or with wait ratios of all flows together.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -79,10 +79,15 @@
 	return c.queue.Running(), c.queue.Queued()
 }
 
-// Acquire waits for a slot until the deadline, but for Settings.MaxWait at most. It returns ErrRefused if the call is
-// refused, or the error of the context. Release must be called if and only if it returns nil.
+// Acquire waits for a slot for a call without a flow, see AcquireFlow.
 func (c *Controller) Acquire(ctx context.Context, priority Priority, deadline time.Time) error {
-	id, granted, err := c.offer(priority, deadline)
+	return c.AcquireFlow(ctx, "", priority, deadline)
+}
+
+// AcquireFlow waits for a slot for a call of a flow until the deadline, but for Settings.MaxWait at most. It returns
+// ErrRefused if the call is refused, or the error of the context. Release must be called if and only if it returns nil.
+func (c *Controller) AcquireFlow(ctx context.Context, flow Flow, priority Priority, deadline time.Time) error {
+	id, granted, err := c.offer(flow, priority, deadline)
 	if err != nil || granted == nil {
 		return err
 	}
@@ -105,12 +110,12 @@
 }
 
 // offer returns a nil channel if the call holds a slot already.
-func (c *Controller) offer(priority Priority, deadline time.Time) (ID, <-chan bool, error) {
+func (c *Controller) offer(flow Flow, priority Priority, deadline time.Time) (ID, <-chan bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
 	id := c.lastID
-	decision, change := c.queue.Offer(c.timers.Now(), id, priority, deadline)
+	decision, change := c.queue.OfferFlow(c.timers.Now(), id, flow, priority, deadline)
 	c.notify(change)
 	switch decision {
 	case DecisionRun:
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,6 +14,8 @@
 // NewPriority returns a priority. The level goes before the rank.
 func NewPriority(level, rank uint8) Priority { return Priority(level)<<8 | Priority(rank) }
 
+func (p Priority) level() uint8 { return uint8(p >> 8) } //nolint:gosec // at most 255
+
 // Priorities of idempotent and keyed calls. Package proxy derives its priorities from routes instead.
 const (
 	// PriorityIdempotent is for calls that may run more than once.
@@ -58,6 +60,8 @@
 type queuedCall struct {
 	id           ID
 	priority     Priority
+	flow         *flow
+	flowName     Flow
 	expiresAt    time.Time
 	queuedAt     time.Time
 	expectedWait time.Duration // estimate when the call was queued, without the wait ratio
@@ -80,9 +84,12 @@
 	settings       Settings
 	slots          int
 	running        int
-	calls          []queuedCall // by descending priority, then in order of arrival
+	calls          []queuedCall // by descending priority, then in order of arrival; slots go to them by the rules of Flow
 	averageRunTime time.Duration
-	waitRatios     map[Priority]waitRatio
+	levels         map[uint8]*level // with queued calls
+	scans          uint64
+	waitRatios     map[waitClass]waitRatio
+	ratioLimit     int // number of wait ratios from which those that have decayed are forgotten
 	rate           rateLimit
 
 	isExpired func(c queuedCall, now time.Time) bool // replaced by tests
@@ -93,7 +100,7 @@
 	if settings.MaxWait <= 0 {
 		settings.MaxWait = DefaultMaxWait
 	}
-	q := &Queue{settings: settings, waitRatios: make(map[Priority]waitRatio), isExpired: hasExpired}
+	q := &Queue{settings: settings, ratioLimit: minRatioLimit, levels: make(map[uint8]*level), waitRatios: make(map[waitClass]waitRatio), isExpired: hasExpired}
 	q.SetSlots(slots)
 	return q
 }
@@ -138,9 +145,15 @@
 // Queued returns the number of queued calls.
 func (q *Queue) Queued() int { return len(q.calls) }
 
-// Offer requests a slot for a call that must start before its deadline. When the queue is full, a queued call of lower
-// priority may be refused in its place.
+// Offer requests a slot for a call without a flow, see OfferFlow.
 func (q *Queue) Offer(now time.Time, id ID, priority Priority, deadline time.Time) (Decision, Change) {
+	return q.OfferFlow(now, id, "", priority, deadline)
+}
+
+// OfferFlow requests a slot for a call of a flow that must start before its deadline. When the queue is full, a queued call
+// that would get a slot later may be refused in its place. So may be one that the call delays too much, if calls of several
+// flows are queued.
+func (q *Queue) OfferFlow(now time.Time, id ID, name Flow, priority Priority, deadline time.Time) (Decision, Change) {
 	if !now.Before(deadline) {
 		return DecisionRefuse, Change{}
 	}
@@ -148,19 +161,22 @@
 	if len(q.calls) == 0 && q.grant(now) {
 		return DecisionRun, change
 	}
-	index := q.position(priority)
+	l, f := q.flowOf(priority, name)
+	p, ahead := q.newPlace(l, f, priority, q.position(priority))
 	expiresAt := now.Add(q.settings.MaxWait)
 	if deadline.Before(expiresAt) {
 		expiresAt = deadline
 	}
-	expected := q.expectedWait(now, index)
-	if now.Add(q.waitRatios[priority].scale(now, expected)).After(expiresAt) {
-		return DecisionRefuse, change
-	}
-	if len(q.calls) >= q.queueLimit() && !q.displace(priority, &change) {
+	expected := q.expectedWait(now, ahead)
+	ratio := q.waitRatios[waitClass{priority: priority, flow: name}]
+	if now.Add(ratio.scale(now, expected)).After(expiresAt) || len(q.calls) >= q.queueLimit() && !q.displace(p, l, f, priority, &change) {
+		q.forget(priority, name)
 		return DecisionRefuse, change
 	}
-	q.calls = slices.Insert(q.calls, index, queuedCall{id: id, priority: priority, expiresAt: expiresAt, queuedAt: now, expectedWait: expected})
+	l, f = q.flowOf(priority, name) // as the displaced call may have been the last one there
+	l.add(f)
+	q.calls = slices.Insert(q.calls, q.position(priority), queuedCall{id: id, priority: priority, flow: f, flowName: name, expiresAt: expiresAt, queuedAt: now, expectedWait: expected})
+	q.refuseDelayed(now, id, &change)
 	return DecisionWait, change
 }
 
@@ -191,22 +207,67 @@
 	return len(q.calls)
 }
 
-// expectedWait estimates how long the call at an index of the queue waits for a slot.
-func (q *Queue) expectedWait(now time.Time, index int) time.Duration {
-	return max(q.averageRunTime*time.Duration(index+1)/time.Duration(q.slots), q.rate.wait(now, index+1))
+// expectedWait estimates how long a call waits for a slot, given the number of queued calls that get one before it.
+func (q *Queue) expectedWait(now time.Time, ahead int) time.Duration {
+	return max(q.averageRunTime*time.Duration(ahead+1)/time.Duration(q.slots), q.rate.wait(now, ahead+1))
 }
 
-// displace refuses the last call of the queue and reports true if its priority is lower than the given one.
-func (q *Queue) displace(priority Priority, change *Change) bool {
-	last := len(q.calls) - 1
-	if q.calls[last].priority >= priority {
+// displace refuses the queued call that gets its slot last, and reports true, if a new call gets one earlier.
+func (q *Queue) displace(p place, l *level, f *flow, priority Priority, change *Change) bool {
+	last := q.last()
+	lastPriority := q.calls[last.index].priority
+	switch {
+	case lastPriority.level() != priority.level() || !l.sharedWith(f):
+		if lastPriority >= priority {
+			return false
+		}
+	case last.tag < p.tag || last.tag == p.tag && last.index < p.index:
 		return false
 	}
-	change.refused = append(change.refused, q.calls[last].id)
-	q.calls = q.calls[:last]
+	change.refused = append(change.refused, q.calls[last.index].id)
+	q.remove(last.index)
 	return true
 }
 
+// refuseDelayed refuses calls at the end of the order that a new call has delayed so much that they would not start in
+// time. Without it, the calls of a loud flow would wait in vain until they expire, when it is too late to send them
+// elsewhere. If only one flow has queued calls there, they are kept.
+func (q *Queue) refuseDelayed(now time.Time, newCall ID, change *Change) {
+	for q.levels[q.calls[len(q.calls)-1].priority.level()].shared() {
+		last := q.last().index
+		c := q.calls[last]
+		expected := q.expectedWait(now, len(q.calls)-1)
+		if c.id == newCall || !now.Add(expected).After(c.expiresAt) {
+			return
+		}
+		q.recordWait(now.Add(expected), c)
+		change.refused = append(change.refused, c.id)
+		q.remove(last)
+	}
+}
+
+// remove takes the call at an index out of the queue.
+func (q *Queue) remove(index int) {
+	c := q.calls[index]
+	q.calls = slices.Delete(q.calls, index, index+1)
+	q.levels[c.priority.level()].remove(c.flow)
+	q.forget(c.priority, c.flowName)
+}
+
+// forget drops the state of a flow and of its level if no call is queued there and the state makes no difference.
+func (q *Queue) forget(priority Priority, name Flow) {
+	l := q.levels[priority.level()]
+	if l == nil {
+		return
+	}
+	if f := l.flows[name]; f != nil && f.queued == 0 && f.next <= l.floor {
+		delete(l.flows, name)
+	}
+	if l.active == 0 {
+		delete(q.levels, priority.level())
+	}
+}
+
 // Release frees the slot of a call. A runTime of zero leaves the average unchanged; it is for calls that did not run or whose
 // run time is not known.
 func (q *Queue) Release(now time.Time, runTime time.Duration) Change {
@@ -223,27 +284,30 @@
 	if index < 0 {
 		return false
 	}
-	q.calls = slices.Delete(q.calls, index, index+1)
+	q.remove(index)
 	return true
 }
 
 // Expire refuses the calls whose time in the queue is over, and grants free slots to the first of the remaining ones.
 func (q *Queue) Expire(now time.Time) Change {
 	var change Change
-	kept := q.calls[:0]
-	for _, c := range q.calls {
-		if q.isExpired(c, now) {
-			q.recordWait(now, c)
-			change.refused = append(change.refused, c.id)
+	for i := 0; i < len(q.calls); {
+		c := q.calls[i]
+		if !q.isExpired(c, now) {
+			i++
 			continue
 		}
-		kept = append(kept, c)
+		q.recordWait(now, c)
+		change.refused = append(change.refused, c.id)
+		q.remove(i)
 	}
-	q.calls = kept
 	for len(q.calls) > 0 && q.grant(now) {
-		q.recordWait(now, q.calls[0])
-		change.granted = append(change.granted, q.calls[0].id)
-		q.calls = slices.Delete(q.calls, 0, 1)
+		index := q.first()
+		c := q.calls[index]
+		q.recordWait(now, c)
+		change.granted = append(change.granted, c.id)
+		q.levels[c.priority.level()].serve(c.flow)
+		q.remove(index)
 	}
 	return change
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -84,6 +84,9 @@
 		if m.queue.Queued() != len(m.deadlines) || len(m.deadlines) > 3 {
 			return fmt.Errorf("%d calls are queued, the queue counts %d", len(m.deadlines), m.queue.Queued())
 		}
+		if err := m.checkFlows(); err != nil {
+			return err
+		}
 		if m.running > 2 {
 			return fmt.Errorf("%d calls are running in 2 slots", m.running)
 		}
@@ -91,6 +94,32 @@
 	return nil
 }
 
+// checkFlows compares the counts of queued calls by flow, and of flows, with the queue.
+func (m *model) checkFlows() error {
+	queued, active := make(map[*flow]int), make(map[uint8]map[Flow]bool)
+	for _, c := range m.queue.calls {
+		queued[c.flow]++
+		if active[c.priority.level()] == nil {
+			active[c.priority.level()] = make(map[Flow]bool)
+		}
+		active[c.priority.level()][c.flowName] = true
+	}
+	for n, l := range m.queue.levels {
+		if l.active == 0 || l.active != len(active[n]) {
+			return fmt.Errorf("level %d has %d flows, the queue counts %d", n, len(active[n]), l.active)
+		}
+		for name, f := range l.flows {
+			if f.queued != queued[f] || f.queued == 0 && f.next <= l.floor {
+				return fmt.Errorf("flow %q has %d calls, the queue counts %d", name, queued[f], f.queued)
+			}
+		}
+	}
+	if len(active) != len(m.queue.levels) {
+		return fmt.Errorf("%d levels, the queue counts %d", len(active), len(m.queue.levels))
+	}
+	return nil
+}
+
 func (m *model) step() error {
 	switch m.draw(5) {
 	case 0, 1:
@@ -117,7 +146,7 @@
 func (m *model) offer() error {
 	m.lastID++
 	deadline := m.now.Add(time.Duration(m.draw(150)) * time.Millisecond)
-	decision, change := m.queue.Offer(m.now, m.lastID, Priority(m.draw(2)), deadline)
+	decision, change := m.queue.OfferFlow(m.now, m.lastID, Flow("abc"[:m.draw(4)]), NewPriority(uint8(m.draw(2)), uint8(m.draw(2))), deadline)
 	if err := m.apply(change); err != nil {
 		return err
 	}
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -58,6 +58,7 @@
 	forgetful  bool // baseline: retries of callers are treated as new requests
 	paceless   bool // baseline: nothing is learned from requests that have not ended
 	slowSpell  *slowSpell
+	senders    *loadSenders // nil for requests without organisations
 	lastServer int
 	inTime     []float64 // requests answered within the target, by class
 	answered   []float64 // requests answered within the deadline, by class
@@ -82,6 +83,8 @@
 
 type loadRequest struct {
 	class       int
+	sender      int
+	offeredAt   time.Time // to the server that it was sent to last
 	startedAt   time.Time // of the caller's first attempt
 	attemptedAt time.Time // of the current attempt
 	caller      int
@@ -129,7 +132,7 @@
 	start, interval := s.now, time.Duration(float64(time.Second)/(capacity*loadFactor))
 	for at := start; at.Before(start.Add(loadDuration)); at = at.Add(time.Duration(s.rnd.ExpFloat64() * float64(interval))) {
 		s.schedule(at, func() {
-			s.arrive(&loadRequest{class: s.drawClass(), startedAt: s.now, caller: s.rnd.IntN(loadServers)}, start)
+			s.arrive(&loadRequest{class: s.drawClass(), startedAt: s.now, caller: s.rnd.IntN(loadServers), sender: s.senders.draw(s.rnd)}, start)
 		})
 	}
 	for len(s.events) > 0 {
@@ -157,6 +160,7 @@
 func (s *loadSimulation) arrive(q *loadRequest, start time.Time) {
 	if s.now.Sub(start) >= loadWarmUp {
 		s.requests[q.class]++
+		s.senders.request(q, start)
 	} else {
 		q.retries = -1 // not counted
 	}
@@ -212,6 +216,7 @@
 
 func (s *loadSimulation) offer(q *loadRequest) {
 	o, c := s.owners[q.owner], s.call(q)
+	q.offeredAt = s.now
 	latest := latestStart(s.now, c, o.runTimes.upperBound(c))
 	if s.roundRobin {
 		latest = s.now.Add(time.Hour)
@@ -232,7 +237,7 @@
 	if s.roundRobin {
 		priority = 0
 	}
-	decision, change := o.queue.Offer(s.now, o.lastID, priority, latest)
+	decision, change := o.queue.OfferFlow(s.now, o.lastID, s.senders.flow(q), priority, latest)
 	switch decision {
 	case admission.DecisionRun:
 		s.startCall(o, o.lastID)
@@ -257,6 +262,7 @@
 func (s *loadSimulation) deliverRefusal(o *loadOwner, id admission.ID) {
 	q := o.waiting[id]
 	delete(o.waiting, id)
+	s.senders.refuse(s.now.Sub(q.offeredAt))
 	r := notRun(ReasonFull)
 	r.retryAfter = retryDelay(expectedSlotWait(o.queue.Queued(), loadSlots, loadClasses[q.class].runTime), o.queue.RateWait(s.now))
 	s.deliver(q, r)
@@ -310,6 +316,7 @@
 	}
 	if latency <= loadClasses[q.class].deadline {
 		s.answered[q.class]++
+		s.senders.answer(q)
 	}
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -203,7 +203,7 @@
 		return o.refusal(ReasonSlow)
 	}
 	deadline := start.Add(c.timeLeft)
-	if err := o.admission.Acquire(ctx, queuePriority(c), latestStart(start, c, o.runTimes.upperBound(c))); err != nil {
+	if err := o.admission.AcquireFlow(ctx, admission.Flow(c.organisation.name), queuePriority(c), latestStart(start, c, o.runTimes.upperBound(c))); err != nil {
 		result := o.admissionFailure(err)
 		result.queueTime = o.settings.Timers.Now().Sub(start)
 		return result
