proxy: queue calls of running requests first, keep retries apart by organisation

Cause: calls of servers go to exempt routes and have no organisation, so the organisations' priorities did not order them. Work that is done for their parents is lost if they fail. A request of another organisation that asks for the same was taken for a retry of a failed one and yielded to others.

Change: the node next to a server recognises the calls of requests that the server runs by their IDs, and they go before the requests of all organisations. It only does so under a table with organisations. The fingerprint of a request includes its organisation. A retry carries its key and so counts against its organisation as any other request.

The tests were seen failing with the level of other requests, with parents that are never forgotten, with any ID that has a dot, and with a fingerprint without the organisation.

--- a/proxy/callerretry.go
+++ b/proxy/callerretry.go
@@ -16,7 +16,7 @@
 	if in.retries.Empty() {
 		return
 	}
-	if first, ok := in.retries.Match(in.settings.Timers.Now(), fingerprint(q.original)); ok {
+	if first, ok := in.retries.Match(in.settings.Timers.Now(), fingerprint(q)); ok {
 		q.firstReceivedAt = first
 	}
 }
@@ -28,13 +28,14 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.retries.RecordFailure(in.settings.Timers.Now(), fingerprint(q.original), q.firstReceivedAt, q.receivedAt.Add(q.callerTimeout))
+	in.retries.RecordFailure(in.settings.Timers.Now(), fingerprint(q), q.firstReceivedAt, q.receivedAt.Add(q.callerTimeout))
 }
 
-// fingerprint returns a hash of what a request asks for. It does not include headers, as a retry has another ID.
-func fingerprint(r *exchange.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{r.Method(), r.Host(), r.Target()} {
+// fingerprint returns a hash of what a request asks for and of the organisation that sent it, as another organisation may
+// ask for the same. It does not include headers, as a retry has another ID.
+func fingerprint(q *request) uint64 {
+	r, d := q.original, xxhash.New()
+	for _, part := range []string{q.organisation.name, r.Method(), r.Host(), r.Target()} {
 		_, _ = d.WriteString(part) // never fails
 		_, _ = d.Write([]byte{0})
 	}
--- a/proxy/callerretry_test.go
+++ b/proxy/callerretry_test.go
@@ -21,10 +21,11 @@
 	in := NewIngress(IngressSettings{Timers: clock, Rand: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope})
 	defer in.Close()
 	start := clock.Now()
+	var sender organisation
 	attempt := func(target string, after time.Duration) *request {
 		r := exchange.NewRequest("POST", target, "a.example", nil, []byte("body")).WithReceivedAt(start.Add(after))
 		q := &request{
-			original: r, receivedAt: r.ReceivedAt(), firstReceivedAt: r.ReceivedAt(), timeout: time.Hour, callerTimeout: 2 * time.Hour,
+			original: r, organisation: sender, receivedAt: r.ReceivedAt(), firstReceivedAt: r.ReceivedAt(), timeout: time.Hour, callerTimeout: 2 * time.Hour,
 			route: routing.NewRoute(routing.RouteFields{TargetLatency: time.Minute}),
 		}
 		in.matchRetry(q)
@@ -35,6 +36,9 @@
 	c.Assert(target(first), qt.Equals, time.Minute)
 	in.trackFailure(first, exchange.NewResponse(503, nil, nil))
 	c.Assert(target(attempt("/b", 10*time.Second)), qt.Equals, 70*time.Second)
+	sender.name = "acme"
+	c.Assert(target(attempt("/a", 10*time.Second)), qt.Equals, 70*time.Second, qt.Commentf("a request of another organisation is no retry"))
+	sender.name = ""
 	second := attempt("/a", 10*time.Second)
 	c.Assert(target(second), qt.Equals, time.Minute)
 	in.trackFailure(second, exchange.NewResponse(502, nil, nil))
@@ -44,15 +48,19 @@
 	c.Assert(target(attempt("/a", 30*time.Second)), qt.Equals, 90*time.Second)
 }
 
-// TestLateRequestsYield checks the order of the queue: by route priority first, then requests that can be answered in time.
+// TestLateRequestsYield checks the order of the queue: calls of running requests first, then by
+// the priority of the organisation, by that of the route, and requests that can be answered in time.
 func TestLateRequestsYield(t *testing.T) {
 	order := []Call{
+		{organisation: organisation{priority: calledPriority}, priority: 9},
 		{priority: 0, timeToTarget: time.Second},
 		{priority: 0, timeToTarget: -time.Second},
 		{priority: 1, timeToTarget: time.Second},
 		{priority: 1, timeToTarget: 0},
 		{priority: 2, timeToTarget: time.Second},
 		{priority: 40, timeToTarget: -time.Second},
+		{organisation: organisation{name: "a", priority: 1}, timeToTarget: time.Second},
+		{organisation: organisation{name: "b", priority: 2}, timeToTarget: time.Second},
 	}
 	for i := range order[1:] {
 		qt.Check(t, queuePriority(order[i]) > queuePriority(order[i+1]), qt.IsTrue, qt.Commentf("%d", i))
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -119,7 +119,7 @@
 		return in.refuse(q, http.StatusNotFound, "no_route"), q
 	}
 	q.route = route
-	if reason, ok := q.authenticate(); !ok {
+	if reason, ok := q.authenticate(in.settings.Owner.CalledByRunning); !ok {
 		return in.refuseUnauthenticated(q, reason), q
 	}
 	q.timeout, q.callerTimeout = route.Timeout(), route.Timeout()
--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -15,6 +15,10 @@
 	priority int // of its requests; 0 is the most urgent
 }
 
+// calledPriority is the priority of calls of running requests. They go before new requests of all organisations: if they
+// fail, the work done for their parents is lost.
+const calledPriority = -1
+
 // Reasons of the refusal of requests without a valid API key.
 const (
 	reasonNoKey      = "no_key"
@@ -23,8 +27,8 @@
 
 // authenticate determines the organisation that sent a request, by its API key and the organisations of its table. It
 // fails with a reason if the request needs a key and has none that is valid. The key itself is removed, as servers must not
-// receive it.
-func (q *request) authenticate() (reason string, ok bool) {
+// receive it. parentRuns reports whether the request is a call of one that the server on the VM runs.
+func (q *request) authenticate(parentRuns func(id string) bool) (reason string, ok bool) {
 	organisations := q.snapshot.Table().Organisations()
 	if organisations == nil {
 		return "", true
@@ -32,6 +36,9 @@
 	key := platform.APIKey(q.original.Header())
 	platform.RemoveAPIKey(q.original.Header())
 	if q.route.AuthExempt() {
+		if parentRuns(q.id) {
+			q.organisation.priority = calledPriority
+		}
 		return "", true
 	}
 	if key == "" {
--- a/proxy/organisation_test.go
+++ b/proxy/organisation_test.go
@@ -90,3 +90,19 @@
 		}
 	}
 }
+
+// TestCallsOfRunningRequestsAreRecognised guards against calls of a server that wait behind new requests, and against
+// callers that are preferred for IDs that look like those of such calls.
+func TestCallsOfRunningRequestsAreRecognised(t *testing.T) {
+	f := newOrganisationFixture(t, 1, "k1")
+	calls := make(map[string]bool)
+	f.backends[0].setHandler(func(w http.ResponseWriter, r *http.Request) {
+		for _, id := range []string{"p.1", "p.1.2", "q.1", "p1"} {
+			calls[id] = f.owners[0].CalledByRunning(id)
+		}
+		f.backends[0].answer(w, r)
+	})
+	qt.Assert(t, f.sendWith("/read/1", "p", http.Header{"Authorization": {"Bearer k1"}}), qt.Equals, http.StatusOK)
+	qt.Assert(t, calls, qt.DeepEquals, map[string]bool{"p.1": true, "p.1.2": true, "q.1": false, "p1": false})
+	qt.Assert(t, f.owners[0].CalledByRunning("p.1"), qt.IsFalse)
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -39,6 +39,7 @@
 	limit         *serverLimit
 	crashes       *crash.Monitor
 	trials        *quarantine.Claims
+	parents       *parents
 	pool          *exchange.Pool
 	backend       atomic.Pointer[Backend]
 	scope         tally.Scope
@@ -54,6 +55,7 @@
 		settings:      s,
 		runTimes:      newRunTimeEstimator(),
 		trials:        quarantine.NewClaims(),
+		parents:       newParents(),
 		admission:     admission.New(admission.Settings{QueueLimit: maxQueue, MaxWait: maxQueueWait}, 1, s.Timers),
 		pool: exchange.NewPool(exchange.PoolSettings{
 			Dial: s.Dial, DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdlePerPeer: serverIdleConnections,
@@ -261,6 +263,7 @@
 	defer cancel()
 	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller, c.organisation.name)
 	number := o.limit.send()
+	defer o.parents.start(c)()
 	response, err := o.pool.Do(ctx, b.address, r, func(h http.Header) exchange.Match { return attemptMatch(platform.AnsweredAttempt(h), c.requestID) })
 	if err != nil {
 		return o.requestFailure(ctx, err, b, c, id)
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -25,7 +25,11 @@
 	if c.timeToTarget > 0 {
 		rank++
 	}
-	return admission.NewPriority(priorityRank(c.organisation.priority), rank)
+	level := priorityRank(c.organisation.priority)
+	if c.organisation.priority == calledPriority {
+		level = maxPriorityRank + 1
+	}
+	return admission.NewPriority(level, rank)
 }
 
 // priorityRank returns a rank in the queue, of which the greatest is the most urgent.
