--- a/proxy/nested.go
+++ b/proxy/nested.go
@@ -34,8 +34,13 @@
 	return r.ids[id] > 0
 }
 
-// isNested reports whether a request was made by the server on the VM while it was running another one.
-func (o *Owner) isNested(requestID string) bool {
-	parent, ok := platform.ParentAttempt(requestID)
-	return ok && o.running.contains(parent)
+// IsNested reports whether the server on the VM made the request with the given ID while it was running another one. Only
+// the node of that VM can tell, so that no caller elsewhere is preferred for an ID that looks like one of these.
+func (o *Owner) IsNested(requestID string) bool {
+	for parent, ok := platform.ParentAttempt(requestID); ok; parent, ok = platform.ParentAttempt(parent) {
+		if o.running.contains(parent) {
+			return true
+		}
+	}
+	return false
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -214,6 +214,7 @@
 		return notRun(ReasonDraining)
 	}
 	id := newIdentity(c.caller, r)
+	id.organisation = c.organisation.name
 	if refusal, refused := o.checkQuarantine(c, id); refused {
 		return refusal
 	}
@@ -225,7 +226,7 @@
 		return o.refusal(ReasonSlow)
 	}
 	deadline := start.Add(c.timeLeft)
-	if err := o.admission.Acquire(ctx, queuePriority(c), latestStart(start, c, o.runTimes.upperBound(c))); err != nil {
+	if err := o.admission.AcquireFlow(ctx, admission.Flow(c.organisation.name), queuePriority(c), latestStart(start, c, o.runTimes.upperBound(c))); err != nil {
 		result := o.admissionFailure(err)
 		result.queueTime = o.settings.Timers.Now().Sub(start)
 		return result
@@ -281,7 +282,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
-	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller)
+	platform.SetBackendHeaders(r.Header(), c.requestID, timeLeft, b.id, c.caller, c.organisation.name)
 	o.running.start(c.requestID)
 	defer o.running.finish(c.requestID)
 	number := o.limit.send()
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -13,26 +13,32 @@
 	maxQueueWait = 5 * time.Second
 )
 
-// maxPriorityRank is the least urgent route priority that the queue distinguishes.
+// maxPriorityRank is the least urgent priority of organisations and of routes that the queue distinguishes.
 const maxPriorityRank = 15
 
-// nestedPriority is the priority of nested requests, above those of all routes.
-const nestedPriority = admission.Priority(2*maxPriorityRank + 2)
+// nestedPriority is the priority of nested requests, above those of all organisations and routes.
+var nestedPriority = admission.NewPriority(maxPriorityRank+1, 0)
 
-// queuePriority maps the priority of a route, of which 0 is the most urgent, to a priority in the queue. Under overload,
-// a request whose target latency has passed, such as a caller's second attempt, yields to those of its route priority that
-// can still be answered in time: a slot given to it would make another one late, too.
+// queuePriority maps the priorities of a request's organisation and route, of which 0 is the most urgent, to a priority in
+// the queue; that of the organisation goes first. Under overload, a request whose target latency has passed, such as a
+// caller's second attempt, yields to those of its route priority that can still be answered in time: a slot given to it
+// would make another one late, too.
 //
 // Nested requests come first: their parents hold slots of other servers meanwhile, and fail if one of them is refused.
 func queuePriority(c Call) admission.Priority {
 	if c.nested {
 		return nestedPriority
 	}
-	rank := admission.Priority(maxPriorityRank - min(max(c.priority, 0), maxPriorityRank))
-	if c.timeToTarget <= 0 {
-		return 2 * rank
+	rank := 2 * priorityRank(c.priority)
+	if c.timeToTarget > 0 {
+		rank++
 	}
-	return 2*rank + 1
+	return admission.NewPriority(priorityRank(c.organisation.priority), rank)
+}
+
+// priorityRank returns a rank in the queue, of which the greatest is the most urgent.
+func priorityRank(priority int) uint8 {
+	return uint8(maxPriorityRank - min(max(priority, 0), maxPriorityRank)) //nolint:gosec // at most 15
 }
 
 // latestStart returns the time by which a request must start to run, given the upper bound of its run time. Under
