--- /dev/null
+++ b/quota/sim_test.go
@@ -0,0 +1,368 @@
+package quota_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bambooknot/bambooknot/quota"
+	"github.com/bambooknot/bambooknot/routing"
+)
+
+const (
+	organisations = 85
+	warmUp        = 8 * time.Second
+	window        = 5 * time.Second
+	tickPeriod    = 100 * time.Millisecond
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation runs nodes, callers who retry and a lossy network in virtual time.
+type simulation struct {
+	now       time.Duration
+	seq       int
+	queue     events
+	rnd       *rand.Rand
+	nodes     []*simNode
+	tenants   []*tenant
+	cut       func(a, b int) bool
+	messages  int
+	bytes     int
+	placement func(at time.Duration) int // chooses a node for a request
+}
+
+type simNode struct {
+	index      int
+	peer       netip.AddrPort
+	node       *quota.Node
+	limiter    *quota.Shared
+	generation int
+	limits     map[quota.ID]quota.Limit
+}
+
+// tenant is an organisation with its requests, and a central token bucket that sees the same requests.
+type tenant struct {
+	org      routing.Organisation
+	usual    float64
+	factor   func(at time.Duration) float64
+	admitted []time.Duration
+	level    float64
+	levelAt  time.Duration
+	within   int // requests that the central bucket admits
+	granted  int // admitted while counting
+	changed  time.Duration
+}
+
+func organisation(name string, rate float64) routing.Organisation {
+	return routing.NewOrganisation(routing.OrganisationFields{Name: name, RatePerSecond: rate, Burst: rate})
+}
+
+func newSimulation(seed uint64, n int) *simulation {
+	s := &simulation{rnd: rand.New(rand.NewPCG(seed, 1)), cut: func(int, int) bool { return false }}
+	s.placement = func(time.Duration) int { return s.rnd.IntN(len(s.nodes)) }
+	for k := range organisations {
+		usual := max(0.5, 350*float64(n)/86/math.Pow(float64(k+1), 1.2))
+		org := organisation(fmt.Sprint("organisation-", k), max(1.6*usual, 1))
+		s.tenants = append(s.tenants, &tenant{org: org, usual: usual, level: org.Burst(), factor: func(time.Duration) float64 { return 1 }})
+	}
+	for i := range n {
+		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		s.nodes = append(s.nodes, &simNode{index: i, peer: peer})
+	}
+	for _, node := range s.nodes {
+		s.start(node)
+	}
+	for _, t := range s.tenants {
+		s.after(0, func() { s.arrive(t) })
+	}
+	return s
+}
+
+func (s *simulation) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now + d, s.seq, run})
+}
+
+func (s *simulation) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = until
+}
+
+func (s *simulation) start(n *simNode) {
+	n.generation++
+	generation := n.generation
+	n.limits = make(map[quota.ID]quota.Limit)
+	for _, t := range s.tenants {
+		n.limits[quota.NewID(t.org.Name())] = quota.LimitOf(t.org)
+	}
+	n.limiter = quota.NewShared(quota.NewLimiter(rand.New(rand.NewPCG(s.rnd.Uint64(), 2))))
+	limit := func(id quota.ID) (quota.Limit, bool) { l, ok := n.limits[id]; return l, ok }
+	n.node = quota.NewNode(n.peer, n.limiter, quota.Settings{Limit: limit, Slack: 20, Window: window}, rand.New(rand.NewPCG(s.rnd.Uint64(), 3)))
+	s.setView(n, func(int) string { return "alive" })
+	var tick func()
+	tick = func() {
+		if n.generation == generation {
+			s.send(n, n.node.Tick(epoch.Add(s.now)))
+			s.after(tickPeriod, tick)
+		}
+	}
+	s.after(time.Duration(s.rnd.Int64N(int64(tickPeriod))), tick)
+}
+
+// setView sets what a node knows of the health of the others: alive, suspect, or nothing.
+func (s *simulation) setView(n *simNode, health func(i int) string) {
+	byHealth := make(map[string][]netip.AddrPort)
+	for _, m := range s.nodes {
+		byHealth[health(m.index)] = append(byHealth[health(m.index)], m.peer)
+	}
+	n.node.SetMembers(epoch.Add(s.now), byHealth["alive"], byHealth["suspect"], nil)
+}
+
+func (s *simulation) send(from *simNode, out []quota.Message) {
+	for _, m := range out {
+		to := s.nodes[int(m.To().Addr().As4()[2])<<8+int(m.To().Addr().As4()[3])]
+		s.messages++
+		s.bytes += 28 + 25 + 8 + 22*len(m.Usages()) + 25*len(m.Shares())
+		if s.rnd.Float64() < 0.01 || s.cut(from.index, to.index) {
+			continue
+		}
+		delay := time.Millisecond
+		if from.index%2 != to.index%2 {
+			delay = 20 * time.Millisecond
+		}
+		generation := to.generation
+		s.after(delay, func() {
+			if to.generation == generation && to.node != nil {
+				s.send(to, to.node.Receive(epoch.Add(s.now), from.peer, m))
+			}
+		})
+	}
+}
+
+func (s *simulation) arrive(t *tenant) {
+	s.request(t, s.nodes[s.placement(s.now)], 1+s.rnd.IntN(2))
+	s.after(time.Duration(s.rnd.ExpFloat64()/(t.usual*t.factor(s.now))*float64(time.Second)), func() { s.arrive(t) })
+}
+
+// request asks a node and retries if it is refused. Nodes that are down answer nothing.
+func (s *simulation) request(t *tenant, n *simNode, retries int) {
+	if n.node == nil {
+		return
+	}
+	admitted, retryAfter := n.limiter.Admit(epoch.Add(s.now), t.org)
+	t.level = min(t.org.Burst(), t.level+t.org.RatePerSecond()*(s.now-t.levelAt).Seconds())
+	t.levelAt = s.now
+	if t.level >= 1 {
+		t.level--
+		t.within++
+	}
+	if admitted {
+		t.granted++
+		t.admitted = append(t.admitted, s.now)
+	} else if retries > 0 {
+		s.after(retryAfter, func() { s.request(t, n, retries-1) })
+	}
+}
+
+// excess returns the greatest number of requests admitted within a window, divided by the number permitted.
+func (t *tenant) excess() float64 {
+	greatest, first := 0, 0
+	for i, at := range t.admitted {
+		for t.admitted[first] < at-window || t.admitted[first] < t.changed {
+			first++
+		}
+		if at >= t.changed {
+			greatest = max(greatest, i-first+1)
+		}
+	}
+	return float64(greatest) / ((t.org.RatePerSecond()*window.Seconds()+t.org.Burst())*1.1 + 20)
+}
+
+// resetCounts starts to count what lies within the quota.
+func (s *simulation) resetCounts() {
+	for _, t := range s.tenants {
+		t.within, t.granted = 0, 0
+	}
+	s.messages, s.bytes = 0, 0
+}
+
+// split cuts off the first part of the nodes; both sides suspect each other after 2.5 s.
+func (s *simulation) split(part int, d time.Duration) {
+	side := func(i int) bool { return i < part }
+	s.cut = func(a, b int) bool { return side(a) != side(b) }
+	s.after(2500*time.Millisecond, func() {
+		for _, n := range s.nodes {
+			s.setView(n, func(i int) string { return map[bool]string{true: "alive", false: "suspect"}[side(i) == side(n.index)] })
+		}
+	})
+	s.after(d, func() { s.cut = func(int, int) bool { return false } })
+	s.after(d+500*time.Millisecond, func() {
+		for _, n := range s.nodes {
+			s.setView(n, func(int) string { return "alive" })
+		}
+	})
+}
+
+// kill stops a node; the others suspect it after 2.5 s and remove it after 9 s.
+func (s *simulation) kill(n *simNode) {
+	n.generation++
+	n.node = nil
+	for _, step := range []struct {
+		after  time.Duration
+		health string
+	}{{2500 * time.Millisecond, "suspect"}, {9 * time.Second, "gone"}} {
+		s.after(step.after, func() {
+			for _, m := range s.nodes {
+				if m.node != nil {
+					s.setView(m, func(i int) string { return map[bool]string{true: step.health, false: "alive"}[i == n.index] })
+				}
+			}
+		})
+	}
+}
+
+func (s *simulation) ownerOf(t *tenant) *simNode {
+	var peers []netip.AddrPort
+	for _, n := range s.nodes {
+		peers = append(peers, n.peer)
+	}
+	buckets := quota.Buckets(len(s.nodes))
+	owner := quota.Owners(peers, buckets)[quota.NewID(t.org.Name()).Bucket(buckets)]
+	for _, n := range s.nodes {
+		if n.peer == owner {
+			return n
+		}
+	}
+	return nil
+}
+
+// loud has some organisations ask for a multiple of their usual from the end of the warm-up on.
+func (s *simulation) loud(factor float64, indexes ...int) {
+	for _, k := range indexes {
+		s.tenants[k].factor = func(at time.Duration) float64 {
+			if at < warmUp {
+				return 1
+			}
+			return factor
+		}
+	}
+}
+
+type scenario struct {
+	name   string
+	within float64 // least share of what lies within the quota, 0 if there is no requirement
+	begin  func(s *simulation)
+}
+
+var scenarios = []scenario{
+	{"calm", 0.97, func(*simulation) {}},
+	{"loud organisations", 0, func(s *simulation) { s.loud(7.5, 0, 3, 20, 60); s.loud(3, 1) }},
+	{"demand moves", 0.9, func(s *simulation) {
+		s.placement = func(at time.Duration) int {
+			moved := min(max((at-warmUp)%(4*time.Second)-2*time.Second, 0).Seconds(), 1)
+			domain, member := s.rnd.IntN(5), s.rnd.IntN(len(s.nodes)/5)
+			if domain == 0 && at > warmUp && s.rnd.Float64() < moved {
+				domain = 1
+			}
+			return domain*(len(s.nodes)/5) + member
+		}
+	}},
+	{"node cut off", 0, func(s *simulation) { s.loud(7.5, 0, 3, 20, 60); s.split(1, 8*time.Second) }},
+	{"third cut off", 0, func(s *simulation) { s.loud(7.5, 0, 3, 20, 60); s.split(len(s.nodes)/3, 8*time.Second) }},
+	{"owner killed", 0, func(s *simulation) { s.loud(7.5, 0, 3, 20, 60); s.kill(s.ownerOf(s.tenants[0])) }},
+	{"all restarted", 0, func(s *simulation) {
+		s.loud(7.5, 0, 3, 20, 60)
+		for _, n := range s.nodes {
+			n.generation++
+			n.node = nil
+			s.after(time.Second+time.Duration(s.rnd.Int64N(int64(300*time.Millisecond))), func() { s.start(n) })
+		}
+	}},
+	{"limit lowered", 0, func(s *simulation) {
+		t := s.tenants[0]
+		t.org, t.changed = organisation(t.org.Name(), t.org.RatePerSecond()/10), s.now
+		for _, n := range s.nodes {
+			s.after(time.Duration(s.rnd.Int64N(int64(300*time.Millisecond))), func() { n.limits[quota.NewID(t.org.Name())] = quota.LimitOf(t.org) })
+		}
+	}},
+	{"views differ", 0, func(s *simulation) {
+		s.loud(7.5, 0, 3, 20, 60)
+		owner := s.ownerOf(s.tenants[0])
+		for _, n := range s.nodes[:len(s.nodes)/2] {
+			s.setView(n, func(i int) string { return map[bool]string{true: "suspect", false: "alive"}[i == owner.index] })
+			s.after(2*time.Second, func() { s.setView(n, func(int) string { return "alive" }) })
+		}
+	}},
+}
+
+// TestQuotasHold guards against more requests than the quota permits within any window, and against refusals of what lies
+// within it.
+func TestQuotasHold(t *testing.T) {
+	for _, n := range []int{12, 86, 580} {
+		for i, sc := range scenarios {
+			t.Run(fmt.Sprint(n, " ", sc.name), func(t *testing.T) {
+				s := newSimulation(uint64(i), n)
+				s.run(warmUp)
+				s.resetCounts()
+				sc.begin(s)
+				for range 10 {
+					s.run(s.now + 2*time.Second)
+					for _, nn := range s.nodes {
+						if nn.node != nil {
+							nn.node.Debug(epoch.Add(s.now), quota.NewID(s.tenants[20].org.Name()))
+						}
+					}
+				}
+				excess, within, least, loudest := 0.0, 0.0, 1.0, 0.0
+				for k, o := range s.tenants {
+					if o.excess() > 0.97 || o.within >= 200 && float64(o.granted)/float64(o.within) < 0.95 {
+						t.Log("DEBUG", k, o.org.RatePerSecond(), o.excess(), float64(o.granted)/float64(o.within))
+					}
+					excess = max(excess, o.excess())
+					within += float64(o.within)
+					loudest += float64(min(o.granted, o.within))
+					if o.within >= 200 {
+						least = min(least, float64(o.granted)/float64(o.within))
+					}
+				}
+				seconds := 20 * float64(n)
+				t.Logf("%.3f of the permitted, %.3f of what lies within, least %.3f, %.1f messages/s, %.0f B/s",
+					excess, loudest/within, least, float64(s.messages)/seconds, float64(s.bytes)/seconds)
+				qt.Check(t, excess <= 1, qt.IsTrue, qt.Commentf("%.3f", excess))
+				qt.Check(t, least >= sc.within, qt.IsTrue, qt.Commentf("%.3f", least))
+			})
+		}
+	}
+}
