quota, control, wire, node, proxy: exchange reports and grants of quotas between nodes

Nothing is sent while no organisation has a limit. Ingress has the setting Quota, which nothing calls until requests are authenticated. Accounts keep back the shares of nodes out of touch, and a node that gets no answer falls back to its share.

--- a/control/sidecar.go
+++ b/control/sidecar.go
@@ -8,6 +8,7 @@
 	"github.com/bambooknot/bambooknot/fleet"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/quota"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/routing"
 )
@@ -18,12 +19,14 @@
 	Fleet fleet.Settings
 	Feed  feed.Settings
 	Gone  func(err error) bool // reports whether a read error means that the store does not have the requested offset; required
+	Quota QuotaSettings
 }
 
 // Sidecar is the control state of a node that takes the operator's document from the platform's store: membership,
 // distribution of the document and the requests that crash servers. It is not safe for concurrent use, but its Snapshots are.
 type Sidecar struct {
 	*quarantineExchange
+	quota         *quotaExchange // nil without a limiter
 	fleet         *fleet.Machine
 	feed          *feed.Machine
 	isGone        func(error) bool
@@ -34,24 +37,36 @@
 // NewSidecar returns the control state of a node without routes.
 func NewSidecar(settings SidecarSettings, rnd *rand.Rand) *Sidecar {
 	f := fleet.New(settings.Self, settings.Fleet, rnd)
-	return &Sidecar{
+	c := &Sidecar{
 		quarantineExchange: newQuarantineExchange(f, rnd),
 		fleet:              f,
 		feed:               feed.New(settings.Feed, rnd),
 		isGone:             settings.Gone,
 	}
+	if limiter := settings.Quota.Limiter; limiter != nil {
+		c.quota = newQuotaExchange(f, settings.Quota, func(s quota.Settings) *quota.Node {
+			return quota.NewNode(settings.Self.Key().Peer(), limiter, s, rnd)
+		})
+	}
+	return c
 }
 
 // Tick handles the timers that are due. It must be called every TickPeriod.
 func (c *Sidecar) Tick(now time.Time) []message.Action {
 	c.tick(now)
 	out := c.fleet.Tick(now)
+	if c.quota != nil {
+		out = append(out, c.quota.tick(now)...)
+	}
 	return c.update(now, append(out, c.feed.Tick(now, c.fleet.View())...))
 }
 
 // Receive handles a message from another node.
 func (c *Sidecar) Receive(now time.Time, env message.Envelope) []message.Action {
 	out := append(c.fleet.Receive(now, env), c.receive(now, env)...)
+	if c.quota != nil {
+		out = append(out, c.quota.receive(now, env)...)
+	}
 	return c.update(now, append(out, c.feed.Receive(now, c.fleet.View(), env)...))
 }
 
@@ -92,6 +107,9 @@
 	}
 	c.fleet.SetDigest(message.NewDigest(c.feed.Version(), record.Offset(0), 0))
 	table, view := c.feed.Table(), c.fleet.View()
+	if c.quota != nil {
+		c.quota.setTable(table)
+	}
 	if table != nil && (c.snapshot == nil || c.snapshot.Table() != table || c.snapshot.View() != view) {
 		c.snapshot = routing.NewSnapshot(table, view)
 	}
@@ -101,6 +119,14 @@
 // Snapshot returns the routes in force and the view of the fleet, or nil while the node has no routes.
 func (c *Sidecar) Snapshot() *routing.Snapshot { return c.snapshot }
 
+// QuotaChanges returns the organisations that the node, as their owner, has started or stopped to limit since the last call.
+func (c *Sidecar) QuotaChanges() []QuotaChange {
+	if c.quota == nil {
+		return nil
+	}
+	return c.quota.changes()
+}
+
 // Joined reports whether another node has answered a view comparison in full. Unlike with a Core, the only node of a
 // fleet never joins.
 func (c *Sidecar) Joined() bool { return c.fleet.Joined() }
--- a/control/sidecar_test.go
+++ b/control/sidecar_test.go
@@ -17,6 +17,7 @@
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/quarantine"
+	"github.com/bambooknot/bambooknot/quota"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/routing"
 	"github.com/bambooknot/bambooknot/wire"
@@ -40,6 +41,9 @@
 	changes  int // documents published so far
 	entries  []record.Entry
 	calls    int // reads and appends of the store
+	decode   func(data []byte) (*routing.Table, error)
+
+	quotaMessages int
 }
 
 type sidecarNode struct {
@@ -47,12 +51,13 @@
 	peer       netip.AddrPort
 	place      member.Place
 	core       *Sidecar
+	limiter    *quota.Shared
 	generation int // number of the process; events of an earlier process are dropped
 	down       bool
 }
 
 func newSidecarNetwork(seed uint64, n int) *sidecarNetwork {
-	w := &sidecarNetwork{now: testEpoch, rnd: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[netip.AddrPort]*sidecarNode)}
+	w := &sidecarNetwork{now: testEpoch, rnd: rand.New(rand.NewPCG(seed, 1)), byPeer: make(map[netip.AddrPort]*sidecarNode), decode: decodeVersion}
 	for i := range n {
 		region := []member.Region{"east", "west"}[i%2]
 		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
@@ -99,8 +104,10 @@
 		WithServer(member.NewServer("orders", member.ServerReady, 6))
 	settings := fleet.SidecarSettings(sidecarFleetName, nil, storeRetention)
 	settings.RendezvousEmptyAtStart = first
+	n.limiter = quota.NewShared(quota.NewLimiter(rand.New(rand.NewPCG(w.lastSeq, 4))))
 	n.core = NewSidecar(SidecarSettings{
-		Self: self, Fleet: settings, Feed: feed.Settings{Self: self, Decode: decodeVersion, FirstStart: first}, Gone: func(error) bool { return false },
+		Self: self, Fleet: settings, Feed: feed.Settings{Self: self, Decode: w.decode, FirstStart: first}, Gone: func(error) bool { return false },
+		Quota: QuotaSettings{Limiter: n.limiter, Slack: 20, Window: 5 * time.Second},
 	}, rand.New(rand.NewPCG(w.rnd.Uint64(), 3)))
 	generation := n.generation
 	var tick func()
@@ -190,6 +197,9 @@
 func (n *sidecarNode) deliver(s message.Send) {
 	frame, err := wire.Encode(sidecarFleetName, n.core.Self().Key(), s.Body())
 	to := n.net.byPeer[s.Recipient()]
+	if isQuotaMessage(s.Body()) {
+		n.net.quotaMessages++
+	}
 	if err != nil || to == nil || to.down {
 		return
 	}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -46,6 +46,7 @@
 
 	snapshot          atomic.Pointer[routing.Snapshot] // nil until the node has routes
 	quarantine        *quarantineView
+	quota             *quotaGate
 	joined            atomic.Bool // whether the node has joined the fleet
 	queue             *eventQueue
 	core              *control.Sidecar // owned by the loop
@@ -116,6 +117,7 @@
 	bodies := exchange.NewBudget(int(bodyMemoryShare * float64(s.MemoryLimit())))
 	n.bodies = bodies
 	n.quarantine = newQuarantineView(n.log, n.clock, s.MetricsAddress().Addr(), n.post)
+	n.quota = newQuotaGate(n.clock, n.log, scope, rand.New(rand.NewPCG(rand.Uint64(), uint64(self.Key().Incarnation()))))
 	n.owner = proxy.NewOwner(proxy.OwnerSettings{
 		Timers: n.clock, Log: n.log, AnsweredLog: routine, Scope: scope, Budget: bodies, OnLeaving: n.onServerLeaving, OnEnded: n.onServerEnded,
 		Quarantine: n.quarantine.load, OnCrash: n.quarantine.onCrash, OnCleared: n.quarantine.onCleared, OnTrial: n.quarantine.onTrial,
@@ -127,6 +129,7 @@
 		Service:    func() string { return n.settings.Load().Service() },
 		Owner:      n.owner,
 		Quarantine: n.quarantine.load,
+		Quota:      n.quota.admit,
 		Pool:       exchange.PoolSettings{Dial: dialer.DialCalls, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerPeer: maxIdlePerPeer, MaxHeaderBytes: maxPeerHeaderBytes, MaxBodyBytes: maxPeerBodyBytes, Budget: bodies},
 		Retry: retry.WindowBudgetSettings{
 			Span: s.RetryBudget().Window(), Share: s.RetryBudget().Share() * retry.FleetSafetyFactor, Reserve: float64(s.RetryBudget().Reserve()) * retry.FleetSafetyFactor,
@@ -174,6 +177,7 @@
 		Fleet: fleetSettings,
 		Feed:  feed.Settings{Self: self, Decode: platform.DecodeTable, FirstStart: s.FirstStart()},
 		Gone:  offsetGone,
+		Quota: control.QuotaSettings{Limiter: n.quota.limiter, Slack: s.Quotas().Slack(), Window: s.Quotas().Window()},
 	}, rnd)
 	client := &http.Client{Transport: &http.Transport{DialContext: dialHTTP, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeaderBytes}}
 	store := platform.NewLog(s.StoreAddress(), client)
@@ -297,6 +301,7 @@
 	}
 	scope.Gauge("requests_quarantined").Update(float64(len(n.quarantine.load().Quarantined())))
 	scope.Gauge("callers_active").Update(float64(n.callerServer.ActiveRequests()))
+	n.quota.recordCounters()
 	n.queue.query(func() {
 		f := n.core.Feed()
 		scope.Gauge("routes_version").Update(float64(f.Version()))
--- a/node/sidecarcontrol.go
+++ b/node/sidecarcontrol.go
@@ -23,6 +23,7 @@
 	n.publish()
 	n.logRejectedDocuments()
 	n.logStoreEra()
+	n.quota.logChanges(n.core.QuotaChanges())
 }
 
 // logStoreEra logs that the store has returned from a copy without its last entries, and that it holds an older document
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -24,13 +24,15 @@
 
 // IngressSettings configure an Ingress.
 type IngressSettings struct {
-	Self        member.Key
-	Place       member.Place
-	Snapshot    func() *routing.Snapshot // returns nil until the node has routes
-	Service     func() string            // returns the service on the VM
-	Owner       *Owner                   // of the server on the VM
-	Quarantine  func() *quarantine.View  // returns the requests that crash servers; nil means that there are none
-	Pool        exchange.PoolSettings    // of connections to other nodes
+	Self       member.Key
+	Place      member.Place
+	Snapshot   func() *routing.Snapshot // returns nil until the node has routes
+	Service    func() string            // returns the service on the VM
+	Owner      *Owner                   // of the server on the VM
+	Quarantine func() *quarantine.View  // returns the requests that crash servers; nil means that there are none
+	// Quota decides on a caller's attempt by the quota of its organisation; nil if there are no quotas.
+	Quota       func(organisation routing.Organisation) (admitted bool, retryAfter time.Duration)
+	Pool        exchange.PoolSettings // of connections to other nodes
 	Retry       retry.WindowBudgetSettings
 	Balance     balance.Settings
 	Timers      *timer.Service
--- a/quota/account.go
+++ b/quota/account.go
@@ -24,10 +24,12 @@
 	trendTime = 600 * time.Millisecond
 	// Nodes are told a fraction without a report if it is less than pushDecline or more than pushRise times what they were
 	// told last. While an organisation is limited, they are told again every pushRefresh.
-	pushDecline  = 0.6
-	pushRise     = 1.7
-	pushRefresh  = 20 * time.Second
-	pushInterval = 400 * time.Millisecond
+	pushDecline = 0.6
+	pushRise    = 1.7
+	pushRefresh = 20 * time.Second
+	// minPushDemand is the demand, relative to the rate, below which only answers to reports carry a lower fraction.
+	minPushDemand = 0.5
+	pushInterval  = 400 * time.Millisecond
 )
 
 // account is the owner's state of an organisation: a token bucket that is drawn down by what nodes report as admitted. It may
@@ -45,6 +47,8 @@
 	trend     float64 // mean of the fraction
 	trendAt   time.Time
 	pushedAt  time.Time
+	limited   bool
+	limitedAt time.Time // when the trend was last below limitedTrend
 }
 
 // contribution is a node's part of the demand of an organisation.
@@ -200,8 +204,8 @@
 	if c != nil {
 		told, toldAt = c.told, c.toldAt
 	}
-	limited := a.trend < 0.9
-	decline := limited && a.trend < pushDecline*told || c != nil && now.Sub(c.reportedAt) < time.Second && a.fraction(now) < pushDecline*told
+	limited := a.trend < limitedTrend && a.demand.at(now, a.demandTime()) > minPushDemand*a.limit.rate
+	decline := limited && (a.trend < pushDecline*told || c != nil && now.Sub(c.reportedAt) < time.Second && a.fraction(now) < pushDecline*told)
 	rise := told < 0.9 && (a.trend > pushRise*told || a.trend > 0.99)
 	if !decline && !rise && (!limited || now.Sub(toldAt) < pushRefresh) {
 		return Share{}, false
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -12,15 +12,23 @@
 	// memberRetention is the time for which the share of a member that is gone without having left is kept back.
 	memberRetention = time.Minute
 	// startTime is the age of an account up to which it keeps back the share of members that have not reported to its owner.
-	startTime = 10 * time.Second
+	// Members that cannot reach it are suspected by then.
+	startTime = 3 * time.Second
+	// maxSilence is the time after which a member without reports that is not suspected has no requests.
+	maxSilence = 10 * time.Second
 	// accountRetention is the time without reports after which an account is closed.
 	accountRetention = 30 * time.Second
+	// foreignRetention is the same for accounts that another node owns.
+	foreignRetention = time.Second
 	// A node is out of touch after the mean time between its reports plus silentDeviations times the mean deviation, and
 	// silenceMargin.
 	silentDeviations = 4
 	silenceMargin    = 200 * time.Millisecond
 	// gapWeight is the weight of the last time between two reports in these means.
 	gapWeight = 0.1
+	// An organisation is limited if the mean of its fraction is below limitedTrend, until it has not been for limitedTime.
+	limitedTrend = 0.9
+	limitedTime  = 5 * time.Second
 	// initialGap is the mean deviation that is assumed of a node with few reports.
 	initialGap = 2
 )
@@ -38,16 +46,25 @@
 	accounts map[ID]*account
 	members  map[netip.AddrPort]*peer // including those gone for less than memberRetention
 	order    []netip.AddrPort         // of members, sorted
+	changes  []Change                 // since TakeChanges
 }
 
 // peer is what an owner knows of a member of the fleet.
 type peer struct {
-	suspect    bool
-	goneAt     time.Time // zero while it is a member
-	reportedAt time.Time // zero before the first report
-	gap        float64   // mean seconds between reports
-	deviation  float64   // mean deviation from gap
+	suspect  bool
+	goneAt   time.Time        // zero while it is a member
+	contacts map[int]*contact // by bucket of the organisations that it reports
+}
+
+func (p *peer) doubted() bool { return p.suspect || !p.goneAt.IsZero() }
+
+// contact is what an owner knows of a member's reports about one bucket. Nodes may report some buckets to another owner.
+type contact struct {
+	reportedAt time.Time
+	gap        float64 // mean seconds between reports
+	deviation  float64 // mean deviation from gap
 	silent     bool
+	doubted    bool // whether the member was suspected since its last report
 }
 
 // freeRate returns the rate that each organisation gets however few members are in touch. It uses half of the slack.
@@ -91,7 +108,7 @@
 func (s *Accounts) peer(address netip.AddrPort) *peer {
 	p := s.members[address]
 	if p == nil {
-		p = &peer{deviation: initialGap}
+		p = &peer{contacts: make(map[int]*contact)}
 		s.members[address] = p
 	}
 	return p
@@ -114,7 +131,9 @@
 
 // Receive handles a node's report and returns the answer, without organisations that the owner's table does not limit.
 func (s *Accounts) Receive(now time.Time, node netip.AddrPort, number uint32, usages []Usage) (initial bool, shares []Share) {
-	s.recordContact(now, node)
+	if len(usages) > 0 {
+		s.recordContact(now, node, usages[0].ID().Bucket(Buckets(s.Size())))
+	}
 	for _, u := range usages {
 		limit, ok := s.settings.Limit(u.ID())
 		if !ok {
@@ -128,14 +147,19 @@
 	return initial, shares
 }
 
-func (s *Accounts) recordContact(now time.Time, node netip.AddrPort) {
+func (s *Accounts) recordContact(now time.Time, node netip.AddrPort, bucket int) {
 	p := s.peer(node)
-	if !p.reportedAt.IsZero() && !p.silent {
-		difference := now.Sub(p.reportedAt).Seconds() - p.gap
-		p.gap += gapWeight * difference
-		p.deviation += gapWeight * (math.Abs(difference) - p.deviation)
+	c := p.contacts[bucket]
+	if c == nil {
+		p.contacts[bucket] = &contact{deviation: initialGap, reportedAt: now}
+		return
 	}
-	p.reportedAt, p.silent = now, false
+	if !c.silent {
+		difference := now.Sub(c.reportedAt).Seconds() - c.gap
+		c.gap += gapWeight * difference
+		c.deviation += gapWeight * (math.Abs(difference) - c.deviation)
+	}
+	c.reportedAt, c.silent, c.doubted = now, false, false
 }
 
 func (s *Accounts) account(now time.Time, id ID, limit Limit) *account {
@@ -163,20 +187,20 @@
 // Shares returns what the node may admit.
 func (p Push) Shares() []Share { return p.shares }
 
-// Tick finds nodes that are out of touch, closes accounts without reports, and returns the grants to send.
-func (s *Accounts) Tick(now time.Time) []Push {
+// Tick finds nodes that are out of touch, closes accounts without reports, and returns the grants to send. owns reports whether
+// the node is the owner as it sees the fleet. If it is not, it only answers reports, as their senders see the fleet otherwise.
+func (s *Accounts) Tick(now time.Time, owns func(ID) bool) []Push {
 	if len(s.accounts) == 0 {
 		return nil
 	}
 	s.forgetMembers(now, false)
-	for _, p := range s.members {
-		p.silent = s.outOfTouch(now, p)
-	}
+	s.findSilent(now)
 	var pushes []Push
 	for _, id := range slices.Sorted(maps.Keys(s.accounts)) {
 		a := s.accounts[id]
 		limit, ok := s.settings.Limit(id)
-		if !ok || now.Sub(a.demand.updatedAt) > accountRetention {
+		silence, owned := now.Sub(a.demand.updatedAt), owns(id)
+		if !ok || silence > accountRetention || !owned && silence > foreignRetention {
 			delete(s.accounts, id)
 			continue
 		}
@@ -184,13 +208,49 @@
 			a.setLimit(now, limit)
 		}
 		s.updateCoverage(now, a)
-		if a.updateTrend(now); !a.initial(now) {
+		if a.updateTrend(now); owned && !a.initial(now) {
+			s.recordChange(now, a)
 			pushes = append(pushes, s.pushes(now, a)...)
 		}
 	}
 	return mergePushes(pushes)
 }
 
+// Change says that an owner starts or stops to limit an organisation.
+type Change struct {
+	id      ID
+	limited bool
+	demand  float64
+}
+
+// ID returns the organisation.
+func (c Change) ID() ID { return c.id }
+
+// Limited reports whether the organisation is limited from now on.
+func (c Change) Limited() bool { return c.limited }
+
+// Demand returns the requests per second at all nodes.
+func (c Change) Demand() float64 { return c.demand }
+
+// TakeChanges returns the changes since the last call.
+func (s *Accounts) TakeChanges() []Change {
+	taken := s.changes
+	s.changes = nil
+	return taken
+}
+
+// recordChange notes that an organisation is limited from now on, or has not been for a while.
+func (s *Accounts) recordChange(now time.Time, a *account) {
+	if a.trend < limitedTrend {
+		a.limitedAt = now
+	}
+	limited := !a.limitedAt.IsZero() && now.Sub(a.limitedAt) < limitedTime
+	if limited != a.limited {
+		a.limited = limited
+		s.changes = append(s.changes, Change{id: a.id, limited: limited, demand: a.demand.at(now, a.demandTime())})
+	}
+}
+
 // mergePushes combines the grants for each node, up to MaxRows.
 func mergePushes(pushes []Push) []Push {
 	slices.SortStableFunc(pushes, func(a, b Push) int { return a.node.Compare(b.node) })
@@ -212,7 +272,7 @@
 	}
 	var pushes []Push
 	for _, node := range s.order {
-		if p := s.members[node]; p.silent || p.suspect || !p.goneAt.IsZero() {
+		if s.members[node].doubted() {
 			continue
 		}
 		if share, due := a.push(now, node); due {
@@ -223,34 +283,64 @@
 	return pushes
 }
 
-// outOfTouch reports whether a member's messages do not arrive, as far as the owner can tell. Members that have never
-// reported are in touch unless they are suspected.
-func (s *Accounts) outOfTouch(now time.Time, p *peer) bool {
-	doubted := p.suspect || !p.goneAt.IsZero()
-	if p.reportedAt.IsZero() {
-		return doubted
+// findSilent finds the members whose reports do not arrive. If most of a bucket's reporters fall silent without being
+// suspected, they have no requests.
+func (s *Accounts) findSilent(now time.Time) {
+	silent, reporting := make(map[int]int), make(map[int]int)
+	for _, p := range s.members {
+		for bucket, c := range p.contacts {
+			c.doubted = c.doubted || p.doubted()
+			c.silent = c.outOfTouch(now, p.doubted())
+			if c.silent && !p.doubted() {
+				silent[bucket]++
+			}
+			if now.Sub(c.reportedAt) < maxSilence {
+				reporting[bucket]++
+			}
+		}
 	}
-	silence := now.Sub(p.reportedAt)
+	for _, p := range s.members {
+		for bucket, c := range p.contacts {
+			if 2*silent[bucket] >= reporting[bucket] {
+				c.silent = c.silent && p.doubted()
+			}
+		}
+	}
+}
+
+// outOfTouch reports whether a member's messages do not arrive, as far as the owner can tell. doubted states that the member
+// may have failed.
+func (c *contact) outOfTouch(now time.Time, doubted bool) bool {
+	silence := now.Sub(c.reportedAt)
 	if doubted {
 		return silence > time.Second
 	}
-	usual := time.Duration((p.gap + silentDeviations*p.deviation) * float64(time.Second))
-	return silence > usual+silenceMargin && silence < startTime
+	usual := time.Duration((c.gap + silentDeviations*c.deviation) * float64(time.Second))
+	return silence > usual+silenceMargin && silence < maxSilence
 }
 
 // updateCoverage sets the part of the quota that is not kept back for members that are out of touch.
 func (s *Accounts) updateCoverage(now time.Time, a *account) {
 	a.refill(now)
 	missing, equal := 0.0, 1/float64(s.Size())
+	bucket := a.id.Bucket(Buckets(s.Size()))
 	for _, address := range s.order {
-		p, c := s.members[address], a.nodes[address]
+		p := s.members[address]
+		known, c := p.contacts[bucket], a.nodes[address]
 		switch {
-		case !p.silent && c != nil:
-			c.reserved = 0 // its first reports since it was out of touch have arrived
-		case p.silent && c != nil:
-			missing += a.reserve(now, c, p.reportedAt)
-		case p.silent, p.reportedAt.IsZero() && now.Sub(a.createdAt) < startTime:
+		case known == nil && (p.doubted() || now.Sub(a.createdAt) < startTime):
+			missing += equal
+		case known == nil || c == nil && !known.silent:
+		case c == nil:
 			missing += equal
+		case known.silent:
+			missing += a.reserve(now, c, known.reportedAt)
+		default:
+			// It has reported since, but not this organisation, or has been idle. It had no requests of the organisation.
+			if !known.doubted {
+				a.level += c.reserved
+			}
+			c.reserved = 0
 		}
 	}
 	a.coverage = max(1-missing, min(s.settings.freeRate()/a.limit.rate, 1))
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -9,7 +9,7 @@
 	// surgeFactor and surgeMargin set the number of requests since the last report, relative to that in the time before,
 	// from which a node reports early.
 	surgeFactor = 2.5
-	surgeMargin = 4
+	surgeMargin = 2.5
 	// initialFactor is how much more than an equal share of the quota a node admits before its first grant.
 	initialFactor = 2
 )
@@ -40,6 +40,7 @@
 	grantedAt   time.Time
 	position    float64 // in the even sequence of admitted requests
 	local       bool    // whether the bucket below decides, since the owner does not answer
+	late        bool    // whether the bucket limits, since an answer is late
 	tokens      float64
 	tokensAt    time.Time
 }
@@ -59,12 +60,14 @@
 // setLimit applies the limit of the table in force at the node.
 func (e *entry) setLimit(limit Limit) { e.limit = limit }
 
-func (e *entry) admit(now time.Time, members int, outOfTouch bool) bool {
+func (e *entry) admit(now time.Time, members int, silence time.Duration) bool {
 	switch {
-	case outOfTouch:
+	case silence >= answerTimeout:
 		return e.admitLocally(now, members)
+	case silence >= lateAnswer && !e.grantedAt.IsZero():
+		return e.admitFraction(now) && e.admitLate(now, members)
 	case !e.grantedAt.IsZero():
-		e.local = false
+		e.local, e.late = false, false
 		return e.admitFraction(now)
 	}
 	return e.take(now, initialFactor/float64(members)*e.limit.rate, initialTokens(e.limit, members))
@@ -93,17 +96,30 @@
 // admitLocally admits the node's share of the rate while the owner does not answer. The owner keeps this share back. The
 // bucket starts with a random part of one request, so that many small shares add up to the right sum.
 func (e *entry) admitLocally(now time.Time, members int) bool {
-	share := e.share
-	if share == 0 {
-		share = 1 / float64(members)
-	}
+	share := e.shareOf(members)
 	if !e.local {
-		e.local = true
+		e.local, e.late = true, false
 		e.tokens, e.tokensAt = e.position, now
 	}
 	return e.take(now, share*e.limit.rate, max(1, share*e.limit.burst))
 }
 
+// admitLate limits what a node admits while an answer is late, which may be the first sign that it is cut off.
+func (e *entry) admitLate(now time.Time, members int) bool {
+	if !e.late {
+		e.late = true
+		e.tokens, e.tokensAt = 1+e.position, now
+	}
+	return e.take(now, lateFactor*e.shareOf(members)*e.limit.rate, 2)
+}
+
+func (e *entry) shareOf(members int) float64 {
+	if e.share == 0 {
+		return 1 / float64(members)
+	}
+	return e.share
+}
+
 // take takes a token from the bucket.
 func (e *entry) take(now time.Time, rate, depth float64) bool {
 	e.tokens = min(depth, e.tokens+rate*max(now.Sub(e.tokensAt), 0).Seconds())
@@ -116,14 +132,14 @@
 }
 
 // reportsEarly reports whether the owner must hear of the usage before the next regular report: the requests have become
-// many more, or the last report was not answered.
-func (e *entry) reportsEarly(now time.Time) bool {
+// many more, there were none for an interval before, or the last report was not answered.
+func (e *entry) reportsEarly(now time.Time, interval time.Duration) bool {
 	elapsed := now.Sub(e.sentAt)
 	if e.asked == 0 || elapsed < minReportInterval {
 		return false
 	}
 	expected := e.askedRate * min(elapsed, time.Second).Seconds()
-	return e.unanswered || float64(e.unsent()) > surgeFactor*expected+surgeMargin
+	return e.unanswered || elapsed >= interval || float64(e.unsent()) > surgeFactor*expected+surgeMargin
 }
 
 // unsent returns the number of requests that are in no report.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -25,6 +25,8 @@
 	members    int // greatest number of members known
 	entries    map[ID]*entry
 	unanswered []time.Time // by bucket, when the first report without an answer was sent; zero if there is none
+	answered   []time.Time // by bucket, when the last answer arrived
+	isolated   bool        // whether most owners do not answer
 	pending    []*entry    // with requests since the last answered report
 	lastNumber uint32      // of the reports sent
 	nextExpiry time.Time
@@ -33,22 +35,42 @@
 
 // NewLimiter returns a limiter without a grant.
 func NewLimiter(rnd *rand.Rand) *Limiter {
-	return &Limiter{rnd: rnd, members: 1, unanswered: make([]time.Time, 1), entries: make(map[ID]*entry)}
+	return &Limiter{rnd: rnd, members: 1, unanswered: make([]time.Time, 1), answered: make([]time.Time, 1), entries: make(map[ID]*entry)}
 }
 
 // SetMembers sets the number of members that share the quotas.
 func (l *Limiter) SetMembers(n int) {
 	l.members = max(n, 1)
 	if buckets := Buckets(n); buckets != len(l.unanswered) {
-		l.unanswered = make([]time.Time, buckets)
+		l.unanswered, l.answered = make([]time.Time, buckets), make([]time.Time, buckets)
 	}
 }
 
-// outOfTouch reports whether the owner of an organisation does not answer. It may be another organisation's report that it
-// has not answered.
-func (l *Limiter) outOfTouch(now time.Time, id ID) bool {
-	since := l.unanswered[id.Bucket(len(l.unanswered))]
-	return !since.IsZero() && now.Sub(since) >= answerTimeout
+// silence returns for how long the owner of an organisation has not answered, possibly to reports about other organisations. It
+// is answerTimeout if an answer is unlikely, since most owners do not answer.
+func (l *Limiter) silence(now time.Time, id ID) time.Duration {
+	bucket := id.Bucket(len(l.unanswered))
+	if since := l.unanswered[bucket]; !since.IsZero() {
+		return now.Sub(since)
+	}
+	if l.isolated && now.Sub(l.answered[bucket]) >= answerLifetime {
+		return answerTimeout
+	}
+	return 0
+}
+
+// updateIsolated compares the owners that do not answer with those that have answered recently.
+func (l *Limiter) updateIsolated(now time.Time) {
+	difference := 0
+	for bucket, since := range l.unanswered {
+		switch {
+		case !since.IsZero() && now.Sub(since) >= answerTimeout:
+			difference++
+		case now.Sub(l.answered[bucket]) < answerLifetime:
+			difference--
+		}
+	}
+	l.isolated = difference > 0
 }
 
 // Admit decides on a request and counts it. If it is refused, retryAfter is the time after which another one is likely to be
@@ -64,7 +86,7 @@
 		l.pending = append(l.pending, e)
 	}
 	e.asked++
-	admitted = e.admit(now, l.members, l.outOfTouch(now, e.id))
+	admitted = e.admit(now, l.members, l.silence(now, e.id))
 	e.lastAskedAt = now
 	if admitted {
 		e.admitted++
@@ -113,8 +135,9 @@
 // urgent returns true are included.
 func (l *Limiter) Reports(now time.Time, all bool, urgent func(ID) bool) (number uint32, usages []Usage) {
 	l.expire(now)
+	l.updateIsolated(now)
 	l.lastNumber++
-	kept := l.pending[:0]
+	kept, interval := l.pending[:0], ReportInterval(l.members)
 	for _, e := range l.pending {
 		if e.asked == 0 && now.Sub(e.lastAskedAt) < idleTime {
 			kept = append(kept, e)
@@ -125,7 +148,7 @@
 			continue
 		}
 		kept = append(kept, e)
-		if !all && !e.reportsEarly(now) && !urgent(e.id) {
+		if !all && !e.reportsEarly(now, interval) && !urgent(e.id) {
 			continue
 		}
 		usages = append(usages, e.report(now, l.lastNumber))
@@ -160,10 +183,11 @@
 			e.lastAskedAt = now
 			l.keep(e)
 		}
-		e.apply(now, number, initial && !l.outOfTouch(now, e.id), s)
+		e.apply(now, number, initial && l.silence(now, e.id) < answerTimeout, s)
 	}
 	if number != 0 && len(shares) > 0 {
-		l.unanswered[shares[0].ID().Bucket(len(l.unanswered))] = time.Time{}
+		bucket := shares[0].ID().Bucket(len(l.unanswered))
+		l.unanswered[bucket], l.answered[bucket] = time.Time{}, now
 	}
 }
 
--- a/quota/node.go
+++ b/quota/node.go
@@ -44,6 +44,7 @@
 	rnd          *rand.Rand
 	alive        []netip.AddrPort
 	owners       []netip.AddrPort // by bucket
+	reported     []netip.AddrPort // owners at the last reports
 	changed      bool             // whether members have changed since owners were determined
 	nextReportAt time.Time
 }
@@ -56,6 +57,9 @@
 // Accounts returns the number of accounts that the node owns.
 func (n *Node) Accounts() int { return n.accounts.Len() }
 
+// TakeChanges returns the organisations that the node as their owner has started or stopped to limit since the last call.
+func (n *Node) TakeChanges() []Change { return n.accounts.TakeChanges() }
+
 // SetMembers sets the members of the fleet, including the node itself, see Accounts.SetMembers. It keeps alive.
 func (n *Node) SetMembers(now time.Time, alive, suspect, left []netip.AddrPort) {
 	n.accounts.SetMembers(now, alive, suspect, left)
@@ -66,12 +70,18 @@
 // Tick returns the messages that are due.
 func (n *Node) Tick(now time.Time) []Message {
 	var out []Message
-	for _, p := range n.accounts.Tick(now) {
+	for _, p := range n.accounts.Tick(now, n.owns) {
 		out = append(out, n.deliver(now, Message{to: p.Node(), shares: p.Shares()})...)
 	}
 	return append(out, n.report(now)...)
 }
 
+// owns reports whether the node is the owner of an organisation.
+func (n *Node) owns(id ID) bool {
+	n.updateOwners()
+	return len(n.owners) > 0 && n.owners[id.Bucket(len(n.owners))] == n.self
+}
+
 // report sends the usage of organisations with requests to their owners: at regular intervals that of all organisations,
 // and in between what cannot wait. The first report is at a random time within the interval, so that the reports to an owner
 // are spread over time.
@@ -88,7 +98,7 @@
 	var usages []Usage
 	n.limiter.With(func(l *Limiter) {
 		if l.Pending() && len(n.alive) > 0 {
-			number, usages = l.Reports(now, all, n.updateOwners())
+			number, usages = l.Reports(now, all, n.moved())
 		}
 	})
 	byBucket := make(map[int][]Usage)
@@ -105,17 +115,21 @@
 	return out
 }
 
-// updateOwners determines the owners if members have changed. It returns whether an organisation has another owner than at
-// the last call, which needs a report to learn the demand.
-func (n *Node) updateOwners() (moved func(ID) bool) {
-	if !n.changed {
-		return func(ID) bool { return false }
+// updateOwners determines the owners if members have changed.
+func (n *Node) updateOwners() {
+	if n.changed {
+		n.changed = false
+		n.owners = Owners(n.alive, Buckets(n.accounts.Size()))
 	}
-	n.changed = false
-	before := n.owners
-	n.owners = Owners(n.alive, Buckets(n.accounts.Size()))
+}
+
+// moved returns whether an organisation has another owner than at the last call, which needs a report to learn the demand.
+func (n *Node) moved() func(ID) bool {
+	n.updateOwners()
+	before, owners := n.reported, n.owners
+	n.reported = owners
 	return func(id ID) bool {
-		return len(before) > 0 && before[id.Bucket(len(before))] != n.owners[id.Bucket(len(n.owners))]
+		return len(before) > 0 && before[id.Bucket(len(before))] != owners[id.Bucket(len(owners))]
 	}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -97,7 +97,13 @@
 	reportIntervalPerMember = 1500 * time.Microsecond
 	// answerTimeout is the time without an answer from which a node relies on its own share. Unanswered reports are repeated
 	// every minReportInterval, so that a single lost message does not exceed it.
-	answerTimeout = 450 * time.Millisecond
+	answerTimeout = 400 * time.Millisecond
+	// lateAnswer is the time without an answer from which a node admits at most lateFactor times its share. An answer takes
+	// 40 ms between regions.
+	lateAnswer = 150 * time.Millisecond
+	lateFactor = 2
+	// answerLifetime is the age up to which an answer shows that an owner can be reached.
+	answerLifetime = time.Second
 )
 
 // ReportInterval returns the time between two reports of a node in a fleet of the given size. It grows with the fleet, so
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -25,6 +25,8 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
+var debugOrg = 0
+
 type event struct {
 	at  time.Duration
 	seq int
@@ -341,7 +343,7 @@
 					s.run(s.now + 2*time.Second)
 					for _, nn := range s.nodes {
 						if nn.node != nil {
-							nn.node.Debug(epoch.Add(s.now), quota.NewID(s.tenants[20].org.Name()))
+							nn.node.Debug(epoch.Add(s.now), quota.NewID(s.tenants[debugOrg].org.Name()))
 						}
 					}
 				}
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -11,6 +11,7 @@
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/quarantine"
+	"github.com/bambooknot/bambooknot/quota"
 	"github.com/bambooknot/bambooknot/wire"
 )
 
@@ -37,6 +38,23 @@
 	return all
 }
 
+// sampleUsages and sampleShares fill a message, with fields of the greatest encoded size.
+func sampleUsages() []quota.Usage {
+	var all []quota.Usage
+	for i := range quota.MaxRows {
+		all = append(all, quota.NewUsage(quota.ID(1<<63+uint64(i)), 1<<31, 1<<31, 1<<31, time.Hour))
+	}
+	return all
+}
+
+func sampleShares() []quota.Share {
+	var all []quota.Share
+	for i := range quota.MaxRows {
+		all = append(all, quota.NewShare(quota.ID(1<<63+uint64(i)), 0.25, 1, 1<<24))
+	}
+	return all
+}
+
 func membershipMessages() []message.PeerMessage {
 	contacts := []message.Contact{message.NewContact("west", 1500*time.Millisecond)}
 	summary := message.NewSummary(message.NewDigest(7, 9, 1<<60), 1<<61, contacts).WithQuarantine(1 << 62)
@@ -49,6 +67,8 @@
 		message.NewClaims(sampleMembers(20)),
 		message.NewSyncReq(message.SyncJoin, [message.SyncBuckets]uint32{1, 2, 3}, sampleMembers(1)),
 		message.NewQuarantine(sampleCrashes(message.MaxQuarantineReports), nil),
+		message.NewQuotaReport(1<<31, sampleUsages()),
+		message.NewQuotaGrant(1<<31, true, sampleShares()),
 		message.NewQuarantine(sampleCrashes(1), []message.TrialReport{message.NewTrialReport(quarantine.Content{1}, 2, 1, 3*time.Hour)}),
 	}
 }
