--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -25,12 +25,13 @@
 	silentDeviations = 4
 	silenceMargin    = 200 * time.Millisecond
 	// gapWeight is the weight of the last time between two reports in these means.
-	gapWeight = 0.1
+	gapWeight = 0.2
 	// An organisation is limited if the mean of its fraction is below limitedTrend, until it has not been for limitedTime.
 	limitedTrend = 0.9
 	limitedTime  = 5 * time.Second
-	// initialGap is the mean deviation that is assumed of a node with few reports.
-	initialGap = 2
+	// initialGap and initialDeviation, in seconds, are assumed of a node with few reports.
+	initialGap       = 1
+	initialDeviation = 2.5
 )
 
 // Settings configure Accounts.
@@ -151,7 +152,7 @@
 	p := s.peer(node)
 	c := p.contacts[bucket]
 	if c == nil {
-		p.contacts[bucket] = &contact{deviation: initialGap, reportedAt: now}
+		p.contacts[bucket] = &contact{gap: initialGap, deviation: initialDeviation, reportedAt: now}
 		return
 	}
 	if !c.silent {
