--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/bambooknot/bambooknot/platform"
+	"github.com/bambooknot/bambooknot/routing"
 )
 
 // organisation is what nodes tell each other of the organisation that sent a request.
@@ -46,6 +47,14 @@
 	return "", true
 }
 
+// sender returns the organisation that sent an authenticated request, if it needed a key.
+func (q *request) sender() (routing.Organisation, bool) {
+	if q.organisation.name == "" {
+		return routing.Organisation{}, false
+	}
+	return q.snapshot.Table().Organisations().ByName(q.organisation.name)
+}
+
 // encode returns the form that a request between nodes carries: the priority and the name.
 func (o organisation) encode() string {
 	return strconv.Itoa(o.priority) + ":" + url.QueryEscape(o.name)
