admission, proxy: scan queued and running requests only where needed

The simulations of load in proxy took 103 s under the race detector. Each event scanned and copied the whole queue of a server, though nothing in it could have expired, and looked up the usual run time of each running request in a map. The queue now knows the earliest expiry and finds the place of a call by binary search; running requests point to the usual run time of their class; the simulation looks up indexes and delays instead of searching the view.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -77,6 +78,7 @@
 	slots          int
 	running        int
 	calls          []queuedCall // by descending priority, then in order of arrival
+	nextExpiry     time.Time    // no queued call expires before
 	averageRunTime time.Duration
 	waitRatios     map[Priority]waitRatio
 	rate           rateLimit
@@ -156,6 +158,9 @@
 	if len(q.calls) >= q.queueLimit() && !q.displace(priority, &change) {
 		return DecisionRefuse, change
 	}
+	if len(q.calls) == 0 || expiresAt.Before(q.nextExpiry) {
+		q.nextExpiry = expiresAt
+	}
 	q.calls = slices.Insert(q.calls, index, queuedCall{id: id, priority: priority, expiresAt: expiresAt, queuedAt: now, expectedWait: expected})
 	return DecisionWait, change
 }
@@ -179,12 +184,7 @@
 
 // position returns the index at which a new call of the given priority is queued.
 func (q *Queue) position(priority Priority) int {
-	for i, c := range q.calls {
-		if c.priority < priority {
-			return i
-		}
-	}
-	return len(q.calls)
+	return sort.Search(len(q.calls), func(i int) bool { return q.calls[i].priority < priority })
 }
 
 // expectedWait estimates how long the call at an index of the queue waits for a slot.
@@ -226,6 +226,18 @@
 // Expire refuses the calls whose time in the queue is over, and grants free slots to the first of the remaining ones.
 func (q *Queue) Expire(now time.Time) Change {
 	var change Change
+	if len(q.calls) > 0 && !now.Before(q.nextExpiry) {
+		q.removeExpired(now, &change)
+	}
+	for len(q.calls) > 0 && q.grant(now) {
+		q.recordWait(now, q.calls[0])
+		change.granted = append(change.granted, q.calls[0].id)
+		q.calls = q.calls[1:]
+	}
+	return change
+}
+
+func (q *Queue) removeExpired(now time.Time, change *Change) {
 	kept := q.calls[:0]
 	for _, c := range q.calls {
 		if q.isExpired(c, now) {
@@ -233,13 +245,10 @@
 			change.refused = append(change.refused, c.id)
 			continue
 		}
+		if len(kept) == 0 || c.expiresAt.Before(q.nextExpiry) {
+			q.nextExpiry = c.expiresAt
+		}
 		kept = append(kept, c)
 	}
 	q.calls = kept
-	for len(q.calls) > 0 && q.grant(now) {
-		q.recordWait(now, q.calls[0])
-		change.granted = append(change.granted, q.calls[0].id)
-		q.calls = slices.Delete(q.calls, 0, 1)
-	}
-	return change
 }
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +50,8 @@
 	rnd        *rand.Rand
 	now        time.Time
 	events     loadEvents
+	indexes    map[member.Key]int // of the servers
+	delays     [loadServers][loadServers]time.Duration
 	view       *member.View
 	owners     []*loadOwner
 	balancers  []*balance.Machine
@@ -94,7 +95,7 @@
 func newLoadSimulation(roundRobin bool, seed uint64) *loadSimulation {
 	s := &loadSimulation{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), roundRobin: roundRobin,
-		inTime: make([]float64, len(loadClasses)), answered: make([]float64, len(loadClasses)), requests: make([]float64, len(loadClasses)),
+		indexes: make(map[member.Key]int), inTime: make([]float64, len(loadClasses)), answered: make([]float64, len(loadClasses)), requests: make([]float64, len(loadClasses)),
 	}
 	places := []member.Place{member.NewPlace("a", "a1"), member.NewPlace("b", "b1"), member.NewPlace("a", "a2"), member.NewPlace("b", "b2")}
 	var members []member.Member
@@ -113,6 +114,12 @@
 		s.balancers = append(s.balancers, balance.New(balance.Settings{CrossRegionBackoff: 500 * time.Millisecond}, key, m.Place(), rand.New(rand.NewPCG(seed, uint64(i)))))
 	}
 	s.view = member.NewView(members[0].Key(), members)
+	for i, from := range members {
+		s.indexes[from.Key()] = i
+		for j, to := range members {
+			s.delays[i][j] = networkDelay(from.Place(), to.Place())
+		}
+	}
 	return s
 }
 
@@ -171,7 +178,7 @@
 		s.refuseCaller(q, defaultRetryAfter)
 		return
 	}
-	q.owner = slices.IndexFunc(s.view.Members(), func(m member.Member) bool { return m.Key() == key })
+	q.owner = s.indexes[key]
 	s.balancers[q.caller].RecordStart(key)
 	q.tried = append(q.tried, key)
 	s.after(s.networkDelay(q), func() { s.offer(q) })
@@ -190,8 +197,9 @@
 }
 
 // networkDelay returns the one-way delay between the node of the caller and the node of the server.
-func (s *loadSimulation) networkDelay(q *loadRequest) time.Duration {
-	from, to := s.view.Members()[q.caller].Place(), s.view.Members()[q.owner].Place()
+func (s *loadSimulation) networkDelay(q *loadRequest) time.Duration { return s.delays[q.caller][q.owner] }
+
+func networkDelay(from, to member.Place) time.Duration {
 	switch {
 	case from == to:
 		return 200 * time.Microsecond
--- a/proxy/pace.go
+++ b/proxy/pace.go
@@ -31,8 +31,8 @@
 	onChange func(slowdown float64) // called when the server turns slow or is as fast as usual again; must not block
 
 	mu       sync.Mutex
-	usual    map[requestClass]usualRunTime
-	running  map[*pacedRequest]struct{}
+	usual    map[requestClass]*usualRunTime
+	running  []*pacedRequest
 	slowdown float64   // at least 1
 	slow     bool      // as last passed to onChange
 	provedAt time.Time // last evidence of a slowdown
@@ -47,13 +47,24 @@
 
 // pacedRequest is a running request.
 type pacedRequest struct {
-	class     requestClass
+	usual     *usualRunTime // of its class
 	startedAt time.Time
 	probe     bool
+	index     int // in paceMonitor.running
 }
 
 func newPaceMonitor(timers *timer.Service, onChange func(slowdown float64)) *paceMonitor {
-	return &paceMonitor{timers: timers, onChange: onChange, usual: make(map[requestClass]usualRunTime), running: make(map[*pacedRequest]struct{}), slowdown: 1}
+	return &paceMonitor{timers: timers, onChange: onChange, usual: make(map[requestClass]*usualRunTime), slowdown: 1}
+}
+
+// usualOf returns the usual run time of a class of requests.
+func (m *paceMonitor) usualOf(class requestClass) *usualRunTime {
+	u, ok := m.usual[class]
+	if !ok {
+		u = &usualRunTime{}
+		m.usual[class] = u
+	}
+	return u
 }
 
 // reset forgets everything, for a server that has been replaced by another one.
@@ -61,7 +72,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	clear(m.usual)
-	clear(m.running)
+	m.running = nil
 	m.slowdown, m.probes = 1, 0
 	m.update(m.timers.Now())
 }
@@ -72,7 +83,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.update(m.timers.Now())
-	if m.slowdown == 1 || time.Duration(float64(m.usual[classOf(c)].mean)*m.slowdown) <= c.timeLeft {
+	if m.slowdown == 1 || time.Duration(float64(m.usualOf(classOf(c)).mean)*m.slowdown) <= c.timeLeft {
 		return true, false
 	}
 	return m.probes == 0, true
@@ -90,8 +101,8 @@
 func (m *paceMonitor) start(c Call, probe bool) *pacedRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := &pacedRequest{class: classOf(c), startedAt: m.timers.Now(), probe: probe}
-	m.running[r] = struct{}{}
+	r := &pacedRequest{usual: m.usualOf(classOf(c)), startedAt: m.timers.Now(), probe: probe, index: len(m.running)}
+	m.running = append(m.running, r)
 	if probe {
 		m.probes++
 	}
@@ -103,26 +114,32 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.timers.Now()
-	if _, ok := m.running[r]; !ok {
+	if r.index >= len(m.running) || m.running[r.index] != r {
 		return // started at a server that has been replaced
 	}
-	delete(m.running, r)
+	m.remove(r)
 	if r.probe {
 		m.probes--
 	}
 	if answered {
-		m.observe(now, r.class, now.Sub(r.startedAt))
+		m.observe(now, r.usual, now.Sub(r.startedAt))
 	}
 	m.update(now)
 }
 
+func (m *paceMonitor) remove(r *pacedRequest) {
+	last := len(m.running) - 1
+	m.running[r.index] = m.running[last]
+	m.running[r.index].index = r.index
+	m.running[last] = nil
+	m.running = m.running[:last]
+}
+
 // observe updates the usual run time and the slowdown with an answer.
-func (m *paceMonitor) observe(now time.Time, class requestClass, runTime time.Duration) {
-	usual := m.usual[class]
+func (m *paceMonitor) observe(now time.Time, usual *usualRunTime, runTime time.Duration) {
 	usual.samples++
 	if usual.samples <= firstUsualSamples {
 		usual.mean += (runTime - usual.mean) / time.Duration(usual.samples)
-		m.usual[class] = usual
 		return
 	}
 	ratio := float64(runTime) / float64(max(usual.mean, time.Millisecond))
@@ -131,7 +148,6 @@
 		weight = slowUsualWeight
 	}
 	usual.mean += time.Duration(weight * float64(runTime-usual.mean))
-	m.usual[class] = usual
 	if m.slowdown > 1 {
 		m.slowdown += slowdownWeight * (min(ratio, maxSlowdown) - m.slowdown)
 		m.provedAt = now
@@ -149,12 +165,11 @@
 
 func (m *paceMonitor) updateSlowdown(now time.Time) {
 	overdue, sum := 0, 0.0
-	for r := range m.running {
-		usual := m.usual[r.class]
-		if usual.samples < firstUsualSamples {
+	for _, r := range m.running {
+		if r.usual.samples < firstUsualSamples {
 			continue
 		}
-		if ratio := float64(now.Sub(r.startedAt)) / float64(max(usual.mean, time.Millisecond)); ratio >= overdueRatio {
+		if ratio := float64(now.Sub(r.startedAt)) / float64(max(r.usual.mean, time.Millisecond)); ratio >= overdueRatio {
 			overdue++
 			sum += ratio
 		}
