--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -197,7 +197,9 @@
 }
 
 // networkDelay returns the one-way delay between the node of the caller and the node of the server.
-func (s *loadSimulation) networkDelay(q *loadRequest) time.Duration { return s.delays[q.caller][q.owner] }
+func (s *loadSimulation) networkDelay(q *loadRequest) time.Duration {
+	return s.delays[q.caller][q.owner]
+}
 
 func networkDelay(from, to member.Place) time.Duration {
 	switch {
