fleet: keep the events of simulations in a heap

Inserting an event into a sorted list copied thousands of events, and each message cost two stack traces of qt.Assert. The order of events is as before: by time, then by insertion. View no longer builds the list of regions to find out that nothing has changed.

--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -1,10 +1,10 @@
 package fleet
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -49,7 +49,8 @@
 	rnd              *rand.Rand
 	now              time.Time
 	start            time.Time
-	events           []event // ordered by time, then by insertion
+	events           eventQueue
+	lastSequence     uint64
 	nodes            []*node
 	byPeer           map[netip.AddrPort]*node
 	lossRate         float64
@@ -148,7 +149,9 @@
 
 func (w *network) deliver(n *node, s message.Send) {
 	frame, err := wire.Encode(testFleet, n.m.Self().Key(), s.Body())
-	qt.Assert(w.t, err, qt.IsNil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
 	n.sent += len(frame)
 	w.largestFrame = max(w.largestFrame, len(frame))
 	to := w.byPeer[s.Recipient()]
@@ -186,7 +189,9 @@
 	}
 	to.received += len(frame)
 	env, err := wire.Decode(testFleet, frame)
-	qt.Assert(w.t, err, qt.IsNil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
 	w.perform(to, to.m.Receive(w.now.Add(to.skew), env))
 }
 
@@ -251,8 +256,7 @@
 func (w *network) run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.events) > 0 && !w.events[0].dueAt.After(end) {
-		e := w.events[0]
-		w.events = w.events[1:]
+		e := heap.Pop(&w.events).(event)
 		w.now = e.dueAt
 		e.run()
 	}
@@ -277,17 +281,33 @@
 }
 
 func (w *network) schedule(d time.Duration, run func()) {
-	e := event{dueAt: w.now.Add(d), run: run}
-	i, _ := slices.BinarySearchFunc(w.events, e.dueAt, func(x event, at time.Time) int {
-		if x.dueAt.After(at) {
-			return 1
-		}
-		return -1
-	})
-	w.events = slices.Insert(w.events, i, e)
+	w.lastSequence++
+	heap.Push(&w.events, event{dueAt: w.now.Add(d), sequence: w.lastSequence, run: run})
 }
 
 type event struct {
-	dueAt time.Time
-	run   func()
+	dueAt    time.Time
+	sequence uint64
+	run      func()
+}
+
+// eventQueue is a heap of events ordered by time, then by insertion.
+type eventQueue []event
+
+func (q eventQueue) Len() int      { return len(q) }
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q eventQueue) Less(i, j int) bool {
+	if c := q[i].dueAt.Compare(q[j].dueAt); c != 0 {
+		return c < 0
+	}
+	return q[i].sequence < q[j].sequence
+}
+
+func (q *eventQueue) Push(e any) { *q = append(*q, e.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -133,6 +133,19 @@
 	return key
 }
 
+// viewIsCurrent reports whether nothing that the cached view depends on has changed.
+func (m *Machine) viewIsCurrent() bool {
+	if m.cachedView == nil || m.table.version != m.viewKey.tableVersion {
+		return false
+	}
+	for _, r := range m.viewKey.regions {
+		if m.regionHealth(r.region) != r.health {
+			return false
+		}
+	}
+	return true
+}
+
 // effectiveClaim returns the claim of e, with the health of its region if that is worse.
 func (m *Machine) effectiveClaim(e *entry) member.Member {
 	if h := m.regionHealth(e.region()); e.live() && h > e.claim.Health() {
@@ -143,8 +156,7 @@
 
 // View returns the members that this node considers alive or suspect. It is rebuilt only after a change.
 func (m *Machine) View() *member.View {
-	key := m.currentCacheKey()
-	if m.cachedView != nil && key.tableVersion == m.viewKey.tableVersion && slices.Equal(key.regions, m.viewKey.regions) {
+	if m.viewIsCurrent() {
 		return m.cachedView
 	}
 	live := m.liveMembers()
@@ -154,7 +166,7 @@
 			members = append(members, claim)
 		}
 	}
-	m.cachedView, m.viewKey = member.NewView(m.self.claim.Key(), members), key
+	m.cachedView, m.viewKey = member.NewView(m.self.claim.Key(), members), m.currentCacheKey()
 	return m.cachedView
 }
 
