--- a/feed/dissemination.go
+++ b/feed/dissemination.go
@@ -12,9 +12,9 @@
 // the document changed, the first member of each domain receives it with the notice.
 func (m *Machine) startRound(changed bool) {
 	m.roundNumber++
-	notice := message.NewVersionNotice(message.NewRound(m.order.position, m.roundNumber), m.Version(), m.now.Sub(m.confirmedAt))
-	for _, domain := range m.order.domains {
-		members := domain.without(m.order.position)
+	notice := message.NewVersionNotice(message.NewRound(m.ordering().position, m.roundNumber), m.Version(), m.now.Sub(m.confirmedAt))
+	for _, domain := range m.ordering().domains {
+		members := domain.without(m.ordering().position)
 		for i, root := range members[:min(rootsPerDomain, len(members))] {
 			m.sendNotice(root.peer, notice, changed && i == 0)
 		}
@@ -75,10 +75,10 @@
 // precede others, and within a region lower positions precede higher ones. A node that has not measured the latency of
 // the store compares positions only.
 func (m *Machine) hasPrecedence(position uint64) bool {
-	if m.reader.latencyKnown && !m.order.inOwnRegion(position) {
+	if m.reader.latencyKnown && !m.ordering().inOwnRegion(position) {
 		return !m.reader.nearStore()
 	}
-	return position < m.order.position
+	return position < m.ordering().position
 }
 
 // forward sends a round once to the node's children in the tree of its failure domain.
@@ -92,14 +92,14 @@
 	}
 	m.latestRounds[round.ReaderHash()] = round.Number()
 	forwarded := message.NewVersionNotice(round, n.Version(), n.Age())
-	for _, child := range m.order.children(round.ReaderHash()) {
+	for _, child := range m.ordering().children(round.ReaderHash()) {
 		m.sendNotice(child.peer, forwarded, withDocument)
 	}
 }
 
 func (m *Machine) announceToDomain() {
 	notice := message.NewVersionNotice(message.Round{}, m.Version(), -1)
-	for _, other := range m.order.ownDomain().without(m.order.position) {
+	for _, other := range m.ordering().ownDomain().without(m.ordering().position) {
 		m.send(other.peer, notice)
 	}
 }
@@ -143,9 +143,9 @@
 
 // randomPeer returns a random member of the node's failure domain, or of the fleet if the domain has no other.
 func (m *Machine) randomPeer() netip.AddrPort {
-	others := m.order.ownDomain().without(m.order.position)
+	others := m.ordering().ownDomain().without(m.ordering().position)
 	if len(others) == 0 {
-		others = m.order.others
+		others = m.ordering().others
 	}
 	if len(others) == 0 {
 		return netip.AddrPort{}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -257,7 +257,7 @@
 func (sim *simulation) firstReader() *simNode {
 	var best *simNode
 	for _, n := range sim.nodes {
-		if !n.dead && n.machine.isReader() && (best == nil || n.machine.order.position < best.machine.order.position) {
+		if !n.dead && n.machine.isReader() && (best == nil || n.machine.ordering().position < best.machine.ordering().position) {
 			best = n
 		}
 	}
@@ -321,7 +321,7 @@
 	for seed := range uint64(20) {
 		sim := newSettledSimulation(t, 12, seed)
 		for _, n := range sim.nodes {
-			n.storeUnavailable = n.machine.order.rank < 3
+			n.storeUnavailable = n.machine.ordering().rank < 3
 		}
 		version := sim.publish()
 		sim.run(applyDeadline)
--- a/feed/machine.go
+++ b/feed/machine.go
@@ -30,12 +30,13 @@
 // Machine holds the newest document and forwards it to other nodes. It is not safe for concurrent use; the routing
 // tables that it returns are.
 type Machine struct {
-	settings  Settings
-	rnd       *rand.Rand
-	now       time.Time
-	startedAt time.Time
-	view      *member.View
-	order     ordering
+	settings    Settings
+	rnd         *rand.Rand
+	now         time.Time
+	startedAt   time.Time
+	view        *member.View
+	order       *ordering
+	orderedView *member.View // of order
 
 	table         *routing.Table
 	compressed    []byte         // compressed document of table
@@ -136,10 +137,17 @@
 		m.answerTokens = min(m.answerTokens+elapsed.Seconds()*documentsPerSecond, documentsPerSecond)
 		m.now = now
 	}
-	if view != m.view {
-		m.view = view
-		m.order = newOrdering(view, m.settings.Self)
+	m.view = view
+}
+
+// ordering returns the order of the members of the current view. It is computed when it is needed, as a view may be replaced
+// before that.
+func (m *Machine) ordering() *ordering {
+	if m.order == nil || m.orderedView != m.view {
+		o := newOrdering(m.view, m.settings.Self)
+		m.order, m.orderedView = &o, m.view
 	}
+	return m.order
 }
 
 // apply makes a document the active one if it is newer, and reports whether it was. compressed is the document as another
--- a/feed/reading.go
+++ b/feed/reading.go
@@ -45,10 +45,10 @@
 // latency of the store counts as one until its first read. While the whole fleet starts for the first time, a node that
 // knows no other one does not take itself for the first.
 func (m *Machine) isReader() bool {
-	if m.order.rank >= m.settings.Readers {
+	if m.ordering().rank >= m.settings.Readers {
 		return false
 	}
-	if m.settings.FirstStart && m.table == nil && len(m.order.others) == 0 {
+	if m.settings.FirstStart && m.table == nil && len(m.ordering().others) == 0 {
 		return false
 	}
 	if !m.reader.latencyKnown {
@@ -62,24 +62,24 @@
 func (m *Machine) readOverdue() bool {
 	if m.table == nil {
 		delay := startDelay(m.reader.nearStore(), m.startFraction, m.estimatedFleetSize(), m.settings.FirstStart)
-		if !m.reader.nearStore() && len(m.order.others) == 0 {
+		if !m.reader.nearStore() && len(m.ordering().others) == 0 {
 			delay = max(delay, farStartDelayWithoutPeers)
 		}
 		return m.now.Sub(m.startedAt) >= m.settings.StartDelay+delay
 	}
-	return m.now.Sub(m.confirmedAt) >= m.settings.SilenceTimeout+takeoverDelay(m.order.rank)
+	return m.now.Sub(m.confirmedAt) >= m.settings.SilenceTimeout+takeoverDelay(m.ordering().rank)
 }
 
 // estimatedFleetSize returns the greater of the nodes in the view and those announced in the store.
-func (m *Machine) estimatedFleetSize() int { return max(len(m.order.others)+1, m.announcedNodes) }
+func (m *Machine) estimatedFleetSize() int { return max(len(m.ordering().others)+1, m.announcedNodes) }
 
 // estimatedRank returns the node's rank in its region. While the view lacks most of the nodes that have started, it
 // returns at least a random rank among these, as all ranks in a small view are low.
 func (m *Machine) estimatedRank() int {
-	if len(m.order.others)+1 >= m.announcedNodes/2 {
-		return m.order.rank
+	if len(m.ordering().others)+1 >= m.announcedNodes/2 {
+		return m.ordering().rank
 	}
-	return max(m.order.rank, int(m.startFraction*float64(m.announcedNodes)))
+	return max(m.ordering().rank, int(m.startFraction*float64(m.announcedNodes)))
 }
 
 // ObserveStore records the latency of a read of another stream that the store did not hold open, and the number of
