--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -85,6 +86,7 @@
 	slots          int
 	running        int
 	calls          []queuedCall // by descending priority, then in order of arrival; slots go to them by the rules of Flow
+	nextExpiry     time.Time    // no queued call expires before
 	averageRunTime time.Duration
 	levels         map[uint8]*level // with queued calls
 	scans          uint64
@@ -175,6 +177,9 @@
 	}
 	l, f = q.flowOf(priority, name) // as the displaced call may have been the last one there
 	l.add(f)
+	if len(q.calls) == 0 || expiresAt.Before(q.nextExpiry) {
+		q.nextExpiry = expiresAt
+	}
 	q.calls = slices.Insert(q.calls, q.position(priority), queuedCall{id: id, priority: priority, flow: f, flowName: name, expiresAt: expiresAt, queuedAt: now, expectedWait: expected})
 	q.refuseDelayed(now, id, &change)
 	return DecisionWait, change
@@ -199,12 +204,7 @@
 
 // position returns the index at which a new call of the given priority is queued.
 func (q *Queue) position(priority Priority) int {
-	for i, c := range q.calls {
-		if c.priority < priority {
-			return i
-		}
-	}
-	return len(q.calls)
+	return sort.Search(len(q.calls), func(i int) bool { return q.calls[i].priority < priority })
 }
 
 // expectedWait estimates how long a call waits for a slot, given the number of queued calls that get one before it.
@@ -291,15 +291,8 @@
 // Expire refuses the calls whose time in the queue is over, and grants free slots to the first of the remaining ones.
 func (q *Queue) Expire(now time.Time) Change {
 	var change Change
-	for i := 0; i < len(q.calls); {
-		c := q.calls[i]
-		if !q.isExpired(c, now) {
-			i++
-			continue
-		}
-		q.recordWait(now, c)
-		change.refused = append(change.refused, c.id)
-		q.remove(i)
+	if len(q.calls) > 0 && !now.Before(q.nextExpiry) {
+		q.removeExpired(now, &change)
 	}
 	for len(q.calls) > 0 && q.grant(now) {
 		index := q.first()
@@ -311,3 +304,20 @@
 	}
 	return change
 }
+
+func (q *Queue) removeExpired(now time.Time, change *Change) {
+	first := true
+	for i := 0; i < len(q.calls); {
+		c := q.calls[i]
+		if q.isExpired(c, now) {
+			q.recordWait(now, c)
+			change.refused = append(change.refused, c.id)
+			q.remove(i)
+			continue
+		}
+		if first || c.expiresAt.Before(q.nextExpiry) {
+			first, q.nextExpiry = false, c.expiresAt
+		}
+		i++
+	}
+}
