balance: choose among the servers that a filter allows

A roll-out sends requests to the servers of one version, or of a few of them. Pools are subsets of a service's servers, so a filter has to apply before the subset is taken; filtering the chosen servers afterwards could leave none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,8 +67,9 @@
 
 // generation holds the pools of one view.
 type generation struct {
-	view  *member.View
-	pools map[string]*pool
+	view     *member.View
+	pools    map[string]*pool
+	filtered map[filteredKey]*pool // nil until a filter is used
 }
 
 // pool holds the servers of one service to which this node sends calls.
@@ -135,7 +136,11 @@
 // Choose returns the server for a call to a service from a view of the fleet, and false if there is none. It
 // excludes the servers in tried. If the call is sent, RecordStart must be called.
 func (m *Machine) Choose(now time.Time, view *member.View, service string, tried []member.Key) (member.Member, bool) {
-	p := m.pool(now, view, service)
+	return m.choose(now, m.pool(now, view, service), tried)
+}
+
+// choose returns the server of a pool for a call.
+func (m *Machine) choose(now time.Time, p *pool, tried []member.Key) (member.Member, bool) {
 	var fallback *target
 	for d, tier := range p.tiers {
 		if distance(d) == otherRegion && fallback != nil && !m.crossRegionAllowed(fallback, now) {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -16,7 +16,7 @@
 	g := m.generation(now, view)
 	p, ok := g.pools[service]
 	if !ok {
-		p = m.newPool(view, service)
+		p = m.newPool(view, service, Filter{})
 		g.pools[service] = p
 	}
 	return p
@@ -75,12 +75,12 @@
 	t.member = mem
 }
 
-// newPool selects a subset of the ready servers per distance, which bounds the number of connections in a large
-// fleet.
-func (m *Machine) newPool(view *member.View, service string) *pool {
+// newPool selects a subset of the ready servers per distance that a filter allows, which bounds the number of connections
+// in a large fleet.
+func (m *Machine) newPool(view *member.View, service string, f Filter) *pool {
 	p := &pool{}
 	for _, mem := range view.Service(service) {
-		if t := m.targets[mem.Key()]; t != nil && t.ready {
+		if t := m.targets[mem.Key()]; t != nil && t.ready && f.Allows(mem) {
 			d := m.distance(mem.Place())
 			p.tiers[d] = append(p.tiers[d], t)
 		}
