message, wire: decisions and counts of roll-outs, their digest on probes

The deciding node announces decisions (code 51), nodes report counts (code 52), and pings and acks carry a hash of the decisions in field 9, which is absent without decisions. Tallies are a set of the fields that are not 0 and their values, as most buckets of durations are empty; the largest message fits into a datagram with the greatest counts.

The codecs are in the round trip and in FuzzDecode. Without WithRollouts in decodeProbe the round trip fails.

--- a/fleet/claims.go
+++ b/fleet/claims.go
@@ -164,5 +164,5 @@
 
 // summary returns what pings and acks report about this node.
 func (m *Machine) summary() message.Summary {
-	return message.NewSummary(m.digest, m.table.viewHash, m.regionContacts()).WithQuarantine(m.quarantineDigest)
+	return message.NewSummary(m.digest, m.table.viewHash, m.regionContacts()).WithQuarantine(m.quarantineDigest).WithRollouts(m.rolloutDigest)
 }
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -35,6 +35,7 @@
 	self             *entry
 	digest           message.Digest
 	quarantineDigest uint64
+	rolloutDigest    uint64
 	now              time.Time
 	startedAt        time.Time
 	lastReceiveAt    time.Time // when a message was last received
@@ -153,6 +154,9 @@
 // SetQuarantineDigest sets the hash over the record of requests that crash servers, which pings and acks carry.
 func (m *Machine) SetQuarantineDigest(hash uint64) { m.quarantineDigest = hash }
 
+// SetRolloutDigest sets the hash over the decisions about roll-outs, which pings and acks carry.
+func (m *Machine) SetRolloutDigest(hash uint64) { m.rolloutDigest = hash }
+
 // Self returns the claim of the node about itself. Its incarnation rises if its address turns out to have been
 // used with a newer one.
 func (m *Machine) Self() member.Member { return m.self.claim }
--- a/message/document.go
+++ b/message/document.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bambooknot/bambooknot/record"
+	"github.com/bambooknot/bambooknot/rollout"
 )
 
 // ReadDocument is the action to read the operator's document, which holds the routing table, from the platform's
@@ -36,10 +37,12 @@
 
 // DocumentPage answers a ReadDocument.
 type DocumentPage struct {
-	data []byte
-	next record.Offset
-	era  record.Era
-	err  error
+	data      []byte
+	next      record.Offset
+	orders    []rollout.Order
+	malformed []error
+	era       record.Era
+	err       error
 }
 
 // NewDocumentPage returns the answer with a document, or nil if there was none, and the offset of the next read.
@@ -53,6 +56,13 @@
 	return p
 }
 
+// WithOrders returns the page with the orders of roll-outs that were read with the document, in their order, and why each
+// order that could not be decoded was ignored.
+func (p DocumentPage) WithOrders(orders []rollout.Order, malformed []error) DocumentPage {
+	p.orders, p.malformed = orders, malformed
+	return p
+}
+
 // Event implements Event.
 func (DocumentPage) Event() {}
 
@@ -62,6 +72,13 @@
 // Data returns the document, or nil. The receiver must not change it.
 func (p DocumentPage) Data() []byte { return p.data }
 
+// Orders returns the orders of roll-outs that were read with the document. The time of an order is when it was read. The
+// receiver must not change it.
+func (p DocumentPage) Orders() []rollout.Order { return p.orders }
+
+// MalformedOrders returns why orders were ignored, one error for each.
+func (p DocumentPage) MalformedOrders() []error { return p.malformed }
+
 // Next returns the offset from which the next read continues.
 func (p DocumentPage) Next() record.Offset { return p.next }
 
--- a/message/membership.go
+++ b/message/membership.go
@@ -29,6 +29,7 @@
 	viewHash   uint64
 	contacts   []Contact
 	quarantine uint64
+	rollouts   uint64
 }
 
 // NewSummary returns a summary of the configuration held, the hash over the sender's view of the members, and the
@@ -46,6 +47,15 @@
 // Quarantine returns the hash over the sender's record of requests that crash servers, 0 if the record is empty.
 func (s Summary) Quarantine() uint64 { return s.quarantine }
 
+// WithRollouts returns the summary with the hash over the decisions about roll-outs that the sender knows.
+func (s Summary) WithRollouts(hash uint64) Summary {
+	s.rollouts = hash
+	return s
+}
+
+// Rollouts returns the hash over the decisions about roll-outs that the sender knows, 0 if it knows none.
+func (s Summary) Rollouts() uint64 { return s.rollouts }
+
 // Digest returns how far the sender has applied the configuration stream.
 func (s Summary) Digest() Digest { return s.digest }
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -76,6 +76,7 @@
 	distributionCodecs(),
 	documentCodecs(),
 	quarantineCodecs(),
+	rolloutCodecs(),
 )
 
 type codecRegistry struct {
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"reflect"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/quarantine"
+	"github.com/bambooknot/bambooknot/rollout"
 	"github.com/bambooknot/bambooknot/wire"
 )
 
@@ -37,9 +40,32 @@
 	return all
 }
 
+// sampleDecision returns a decision with fields of the greatest encoded size.
+func sampleDecision() rollout.Decision {
+	name := strings.Repeat("n", message.MaxNameBytes)
+	return rollout.NewDecision(rollout.DecisionFields{
+		Service: name, Target: name, Base: name, Order: 1 << 63, Sequence: 1 << 62, Phase: rollout.PhaseRolledBack, Share: rollout.FullShare,
+		Servers: 1 << 16, Halted: true, Age: 24 * time.Hour, Limit: time.Minute, Reason: strings.Repeat("r", 200),
+	})
+}
+
+// sampleCounts returns counts with fields of the greatest encoded size.
+func sampleCounts() rollout.Counts {
+	var durations [rollout.Buckets]uint32
+	for i := range durations {
+		durations[i] = 1<<28 - 1
+	}
+	tally := rollout.NewTally(1<<28-1, durations)
+	fields := rollout.CountsFields{Service: strings.Repeat("n", message.MaxNameBytes), Order: 1 << 63, Sequence: 1 << 62, InFlightBase: 1 << 20, InFlightTarget: 1 << 20, Guarded: true}
+	for i := range message.MaxCountedRoutes {
+		fields.Routes = append(fields.Routes, rollout.NewRouteCounts(strings.Repeat(strconv.Itoa(i), message.MaxNameBytes), tally, [rollout.Cohorts]rollout.Tally{tally, tally, tally}))
+	}
+	return rollout.NewCounts(fields)
+}
+
 func membershipMessages() []message.PeerMessage {
 	contacts := []message.Contact{message.NewContact("west", 1500*time.Millisecond)}
-	summary := message.NewSummary(message.NewDigest(7, 9, 1<<60), 1<<61, contacts).WithQuarantine(1 << 62)
+	summary := message.NewSummary(message.NewDigest(7, 9, 1<<60), 1<<61, contacts).WithQuarantine(1 << 62).WithRollouts(1 << 63)
 	return []message.PeerMessage{
 		message.NewPing(1, summary, nil),
 		message.NewPing(2, summary, sampleMembers(3)),
@@ -49,6 +75,8 @@
 		message.NewClaims(sampleMembers(20)),
 		message.NewSyncReq(message.SyncJoin, [message.SyncBuckets]uint32{1, 2, 3}, sampleMembers(1)),
 		message.NewQuarantine(sampleCrashes(message.MaxQuarantineReports), nil),
+		message.NewRolloutDecision(sampleDecision(), true),
+		message.NewRolloutCounts(sampleCounts()),
 		message.NewQuarantine(sampleCrashes(1), []message.TrialReport{message.NewTrialReport(quarantine.Content{1}, 2, 1, 3*time.Hour)}),
 	}
 }
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -64,6 +64,7 @@
 	Contacts   []contactRow `cbor:"6,keyasint,omitempty"`
 	Claims     *claimsWire  `cbor:"7,keyasint,omitempty"`
 	Quarantine uint64       `cbor:"8,keyasint,omitempty"`
+	Rollouts   uint64       `cbor:"9,keyasint,omitempty"`
 }
 
 type contactRow struct {
@@ -112,7 +113,7 @@
 	d := s.Digest()
 	w := probeWire{
 		Seq: seq, Version: uint64(d.Version()), Head: uint64(d.Head()), Chain: d.Chain(),
-		View: s.ViewHash(), Contacts: toContacts(s.Contacts()), Claims: claims, Quarantine: s.Quarantine(),
+		View: s.ViewHash(), Contacts: toContacts(s.Contacts()), Claims: claims, Quarantine: s.Quarantine(), Rollouts: s.Rollouts(),
 	}
 	return cbor.Marshal(w)
 }
@@ -128,7 +129,7 @@
 	}
 	claims, err := fromClaims(w.Claims)
 	digest := message.NewDigest(record.Version(w.Version), record.Offset(w.Head), w.Chain)
-	return w.Seq, message.NewSummary(digest, w.View, contacts).WithQuarantine(w.Quarantine), claims, err
+	return w.Seq, message.NewSummary(digest, w.View, contacts).WithQuarantine(w.Quarantine).WithRollouts(w.Rollouts), claims, err
 }
 
 func toContacts(contacts []message.Contact) []contactRow {
