--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -55,13 +55,6 @@
 	t.durations[BucketOf(d)]++
 }
 
-func (t *Tally) add(other Tally) {
-	t.failures += other.failures
-	for i, n := range other.durations {
-		t.durations[i] += n
-	}
-}
-
 // since returns what was counted after an earlier state of the same tally. Counts that went back count as new.
 func (t Tally) since(earlier Tally) Tally {
 	if t.failures < earlier.failures {
@@ -98,6 +91,15 @@
 // Target returns the responses of the target version by cohort of servers.
 func (c RouteCounts) Target() [Cohorts]Tally { return c.target }
 
+// since returns what was counted after an earlier report of the same reporter.
+func (c RouteCounts) since(earlier RouteCounts) RouteCounts {
+	c.base = c.base.since(earlier.base)
+	for i := range c.target {
+		c.target[i] = c.target[i].since(earlier.target[i])
+	}
+	return c
+}
+
 // CountsFields are the fields of Counts.
 type CountsFields struct {
 	Service        string
--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,110 @@
+package rollout
+
+import "math"
+
+// subsets is the number of sets of cohorts that are judged: all cohorts, and all but one each.
+const subsets = Cohorts + 1
+
+// evidence compares the target version with the base version on one route, or in total. For each way to be bad it sums the
+// logarithms of the likelihood ratio between that and the best explanation by a good version.
+type evidence struct {
+	base      histogram // before the current slice
+	target    [subsets]float64
+	alarm     [subsets][hypothesisCount]float64 // the sum since it was last below 0, for changes for the worse
+	sum       [subsets][hypothesisCount]float64 // since the order
+	sinceMark [subsets][hypothesisCount]float64 // since the last mark
+}
+
+// slice holds the responses of one route in a span of time.
+type slice struct {
+	base   histogram
+	target [Cohorts]histogram
+}
+
+func (s *slice) add(base Tally, target [Cohorts]Tally) {
+	s.base.add(base, 1)
+	for i, t := range target {
+		s.target[i].add(t, 1)
+	}
+}
+
+// subset returns the responses of the target version but for one cohort, or of all cohorts for subset 0.
+func (s *slice) subset(without int) histogram {
+	var h histogram
+	for cohort, part := range s.target {
+		if cohort+1 == without {
+			continue
+		}
+		for i, n := range part {
+			h[i] += n
+		}
+	}
+	return h
+}
+
+// add adds a slice. starting says that the servers of the target version may not be warm yet.
+func (e *evidence) add(s *slice, starting bool) {
+	base := newDistribution(s.base, e.base)
+	bad, good := badDistributions(base), goodDistributions(base, starting)
+	for subset := range subsets {
+		h := s.subset(subset)
+		e.target[subset] += h.total()
+		best := math.Inf(-1)
+		for _, g := range good {
+			best = max(best, h.logLikelihood(g))
+		}
+		for i, b := range bad {
+			ratio := h.logLikelihood(b) - best
+			e.alarm[subset][i] = max(0, e.alarm[subset][i]+ratio)
+			e.sum[subset][i] += ratio
+			e.sinceMark[subset][i] += ratio
+		}
+	}
+	const memory = 0.9 // keeps the time before at the last ten slices
+	for i, n := range s.base {
+		e.base[i] = e.base[i]*memory + n
+	}
+}
+
+// isBad reports whether the target version is bad in one of the first few ways: in total, and also without any one cohort.
+// One faulty server among several is not a bad version.
+func (e *evidence) isBad(ways int, threshold float64) bool {
+	for i := range ways {
+		if e.alarm[0][i] >= threshold && e.othersAlarmed(i, threshold*othersFraction) {
+			return true
+		}
+	}
+	return false
+}
+
+// othersFraction is the part of the threshold that the evidence without any one cohort has to reach.
+const othersFraction = 0.65
+
+func (e *evidence) othersAlarmed(way int, threshold float64) bool {
+	for subset := 1; subset < subsets; subset++ {
+		if e.target[subset] > 0 && e.alarm[subset][way] < threshold {
+			return false
+		}
+	}
+	return true
+}
+
+// goodness returns the strength of the evidence that the target version is good, as the logarithm of a likelihood ratio: of
+// the whole, or without the one cohort that speaks most against it. It is 0 while there is reason for suspicion.
+func (e *evidence) goodness(sums *[subsets][hypothesisCount]float64) float64 {
+	best := 0.0
+	for subset := range subsets {
+		weakest := math.Inf(1)
+		for i, sum := range sums[subset] {
+			if e.alarm[subset][i] > suspicion {
+				sum = 0
+			}
+			weakest = min(weakest, -sum)
+		}
+		best = max(best, weakest)
+	}
+	return best
+}
+
+// suspicion is the strength of evidence against a version from which on it does not count as good.
+const suspicion = 3
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -1,11 +1,32 @@
 package rollout
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bambooknot/bambooknot/member"
 )
 
+const (
+	// sliceLength is the span of time over which base and target are compared. Faults of both versions begin and end within
+	// a run, so the whole run must not be compared at once.
+	sliceLength = 500 * time.Millisecond
+	// startingPeriod is the time after the first responses of the target version in which its servers count as cold.
+	startingPeriod = 5 * time.Second
+	// badThreshold is the strength of evidence, the logarithm of a likelihood ratio, from which a version counts as bad.
+	badThreshold = 10
+	// goodThreshold is the same for good.
+	goodThreshold = 8
+	// guardThreshold is the same for a node's own guard, of which there are many.
+	guardThreshold = 16
+	// minRouteShare is the share of a service's requests from which a route is judged good by itself. Rarer routes get too
+	// few requests for that within the exposure that is permitted, and count in the total and against a version only.
+	minRouteShare = 0.02
+	// totalRoute is the key of the evidence over all routes. Routes of the document have names.
+	totalRoute = ""
+)
+
 // Verdict is what the counts say about the target version.
 type Verdict uint8
 
@@ -24,31 +45,154 @@
 
 // Judge compares the target version with the base version by the counts of all nodes, per route and in total. It is not
 // safe for concurrent use.
-type Judge struct{}
+type Judge struct {
+	totals       map[member.Key]map[string]RouteCounts
+	evidence     map[string]*evidence
+	slices       map[string]*slice
+	sliceEnd     time.Time
+	firstBaseAt  time.Time
+	firstAt      time.Time // of the target version's responses
+	base, target map[string]uint64
+}
 
 // NewJudge returns a judge without counts.
-func NewJudge() *Judge { return &Judge{} }
+func NewJudge() *Judge {
+	return &Judge{
+		totals:   make(map[member.Key]map[string]RouteCounts),
+		evidence: make(map[string]*evidence),
+		slices:   make(map[string]*slice),
+		base:     make(map[string]uint64),
+		target:   make(map[string]uint64),
+	}
+}
 
 // Observe adds the totals of a reporter.
 func (j *Judge) Observe(now time.Time, reporter member.Key, c Counts) {
-	panic("rollout: not built yet")
+	j.advance(now)
+	known := j.totals[reporter]
+	if known == nil {
+		known = make(map[string]RouteCounts)
+		j.totals[reporter] = known
+	}
+	for _, r := range c.Routes() {
+		earlier := known[r.route]
+		known[r.route] = r
+		j.add(now, r.since(earlier))
+	}
 }
 
-// Verdict returns the verdict at a time and its reason.
-func (j *Judge) Verdict(now time.Time) (Verdict, string) { panic("rollout: not built yet") }
+func (j *Judge) add(now time.Time, r RouteCounts) {
+	var target uint64
+	for _, t := range r.target {
+		target += t.Requests()
+	}
+	for _, route := range [...]string{r.route, totalRoute} {
+		if j.slices[route] == nil {
+			j.slices[route] = &slice{}
+		}
+		j.slices[route].add(r.base, r.target)
+		j.base[route] += r.base.Requests()
+		j.target[route] += target
+	}
+	if j.firstBaseAt.IsZero() {
+		j.firstBaseAt = now
+	}
+	if target > 0 && j.firstAt.IsZero() {
+		j.firstAt = now
+	}
+}
 
-// Guard stops the target version at one node that itself sees it fail clearly more often than the base version. It is not
-// safe for concurrent use.
-type Guard struct{}
+// advance closes the current slice if it is over.
+func (j *Judge) advance(now time.Time) {
+	if now.Before(j.sliceEnd) {
+		return
+	}
+	j.sliceEnd = now.Add(sliceLength)
+	for route, s := range j.slices {
+		if j.evidence[route] == nil {
+			j.evidence[route] = &evidence{}
+		}
+		j.evidence[route].add(s, now.Sub(j.firstAt) < startingPeriod)
+		delete(j.slices, route)
+	}
+}
 
-// NewGuard returns a guard that has seen nothing.
-func NewGuard() *Guard { return &Guard{} }
+// mark begins the time that goodnessSinceMark covers.
+func (j *Judge) mark(now time.Time) {
+	j.advance(now)
+	for _, e := range j.evidence {
+		e.sinceMark = [subsets][hypothesisCount]float64{}
+	}
+}
 
-// Observe takes in the node's own counts of a service. It returns whether the guard stopped the target version now.
-func (g *Guard) Observe(now time.Time, c Counts) bool { panic("rollout: not built yet") }
+// goodness returns the least strength of evidence for a good version over all routes with traffic.
+func (j *Judge) goodness() float64 {
+	return j.leastGoodness(func(e *evidence) float64 { return e.goodness(&e.sum) })
+}
 
-// Stopped reports whether the target version of a service is stopped for the order that was counted last.
-func (g *Guard) Stopped(service string) bool { panic("rollout: not built yet") }
+func (j *Judge) goodnessSinceMark() float64 {
+	return j.leastGoodness(func(e *evidence) float64 { return e.goodness(&e.sinceMark) })
+}
 
-// Forget drops what is known about a service, once its roll-out has ended.
-func (g *Guard) Forget(service string) { panic("rollout: not built yet") }
+func (j *Judge) leastGoodness(of func(*evidence) float64) float64 {
+	if j.evidence[totalRoute] == nil {
+		return 0
+	}
+	least := of(j.evidence[totalRoute])
+	for route, n := range j.base {
+		if float64(n) < minRouteShare*float64(j.base[totalRoute]) {
+			continue
+		}
+		e := j.evidence[route]
+		if e == nil {
+			return 0
+		}
+		least = min(least, of(e))
+	}
+	return least
+}
+
+// badRoute returns a route on which the version is bad.
+func (j *Judge) badRoute(ways int, threshold float64) (string, bool) {
+	var bad []string
+	for route, e := range j.evidence {
+		if e.isBad(ways, threshold) {
+			bad = append(bad, route)
+		}
+	}
+	if len(bad) == 0 {
+		return "", false
+	}
+	return slices.Min(bad), true
+}
+
+// Verdict returns the verdict at a time and its reason.
+func (j *Judge) Verdict(now time.Time) (Verdict, string) {
+	j.advance(now)
+	if route, bad := j.badRoute(hypothesisCount, badThreshold); bad {
+		return VerdictBad, j.describe(route)
+	}
+	if j.goodness() >= goodThreshold {
+		return VerdictGood, ""
+	}
+	return VerdictUndecided, ""
+}
+
+func (j *Judge) describe(route string) string {
+	if route == totalRoute {
+		return "more failures or slower responses than the base version"
+	}
+	return fmt.Sprintf("more failures or slower responses than the base version on route %s", route)
+}
+
+// Requests returns the numbers of requests counted at the base and the target version.
+func (j *Judge) Requests() (base, target uint64) { return j.base[totalRoute], j.target[totalRoute] }
+
+// rate returns the requests of the service per second.
+func (j *Judge) rate(now time.Time) float64 {
+	base, target := j.Requests()
+	if elapsed := now.Sub(j.firstBaseAt).Seconds(); elapsed > 0 {
+		return float64(base+target) / max(elapsed, 1)
+	}
+	return 0
+}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -22,8 +22,8 @@
 type Plan struct {
 	decision   Decision
 	base       string
-	share      int // thousandths
-	validUntil time.Time
+	share      int                  // thousandths
+	validUntil time.Time            // of a share between 0 and all
 	cohorts    map[member.Key]uint8 // servers of the target version in use
 }
 
@@ -33,7 +33,12 @@
 }
 
 // Service returns the plan of a service, or nil.
-func (p *Plans) Service(name string) *Plan { panic("rollout: not built yet") }
+func (p *Plans) Service(name string) *Plan {
+	if p == nil {
+		return nil
+	}
+	return p.plans[name]
+}
 
 // Base returns the version that requests go to unless a decision sends them to another.
 func (p *Plan) Base() string { return p.base }
@@ -41,35 +46,41 @@
 // Decision returns the decision that the plan follows. It is the zero Decision if there is none.
 func (p *Plan) Decision() Decision { return p.decision }
 
-// Share returns the thousandths of requests that go to the target version at a time.
-func (p *Plan) Share(now time.Time) int { panic("rollout: not built yet") }
-
-// Allows reports whether a member's server may get a request of a side.
-func (p *Plan) Allows(m member.Member, side Side) bool { panic("rollout: not built yet") }
-
-// Cohort returns the cohort of a server of the target version, which its responses are counted under.
-func (p *Plan) Cohort(key member.Key) int { panic("rollout: not built yet") }
-
-// Planner makes the plans of a node and knows the base version of each service. It is not safe for concurrent use.
-type Planner struct{}
-
-// NewPlanner returns a planner that knows no base version yet.
-func NewPlanner() *Planner { return &Planner{} }
-
-// Update returns the plans for a view and the decisions in force. stopped reports whether the node's own guard has
-// stopped the target version of a service. It returns the same Plans as before if nothing changed.
-func (p *Planner) Update(now time.Time, view *member.View, record *Record, stopped func(service string) bool) *Plans {
-	panic("rollout: not built yet")
+// Running reports whether requests have to be counted, as the roll-out has not ended.
+func (p *Plan) Running() bool {
+	return p != nil && p.decision.Sequence() != 0 && !p.decision.Final()
 }
 
-// Chooser chooses the side of each request by an even sequence per service and route. It is not safe for concurrent use.
-type Chooser struct{}
+// Share returns the thousandths of requests that go to the target version at a time. A share between 0 and all is valid
+// only for TrustPeriod after the last contact to the decider. The time is checked here, as a node whose control loop
+// hangs publishes no other plan.
+func (p *Plan) Share(now time.Time) int {
+	if p == nil || len(p.cohorts) == 0 {
+		return 0
+	}
+	if p.share < FullShare && !now.Before(p.validUntil) {
+		return 0
+	}
+	return p.share
+}
 
-// NewChooser returns a chooser that draws the starting points of its sequences from uniform, which returns numbers in
-// [0, 1).
-func NewChooser(uniform func() float64) *Chooser { return &Chooser{} }
+// Allows reports whether a member's server may get a request of a side. The version is compared too, as the server at an
+// address may be replaced by one of another version.
+func (p *Plan) Allows(m member.Member, side Side) bool {
+	if p == nil {
+		return true
+	}
+	if side == SideBase {
+		return m.Server().Version() == p.base
+	}
+	_, inUse := p.cohorts[m.Key()]
+	return inUse && m.Server().Version() == p.decision.Target()
+}
 
-// Choose returns the side of the next request of a service and route.
-func (c *Chooser) Choose(now time.Time, service, route string, plan *Plan) Side {
-	panic("rollout: not built yet")
+// Cohort returns the cohort of a server of the target version, which its responses are counted under.
+func (p *Plan) Cohort(key member.Key) int {
+	if p == nil {
+		return 0
+	}
+	return int(p.cohorts[key])
 }
