control, feed, routing: run roll-outs of service versions at the nodes

Each node keeps the decisions, announces and repairs them by the hash on probes, and reports its counts to the node that decides, which answers with the decision. The node that leads reading the document decides: feed.Machine.Leads. A reader whose reads fail stops leading if another one reads the store. Counts are sent again until the deciding node was heard, as the last report of requests in flight could be lost. Without an exposure share the exchange does not exist.

--- /dev/null
+++ b/control/rollout.go
@@ -0,0 +1,323 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bambooknot/bambooknot/feed"
+	"github.com/bambooknot/bambooknot/fleet"
+	"github.com/bambooknot/bambooknot/member"
+	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/rollout"
+)
+
+const (
+	// rolloutSyncInterval is the least time between two repairs of a difference between records of decisions.
+	rolloutSyncInterval = 200 * time.Millisecond
+	// guardInterval is the time between two looks of the node's own guard at its counts.
+	guardInterval = 250 * time.Millisecond
+	// operatorHalt is the reason of a halt that an operator asks for.
+	operatorHalt = "halted by an operator"
+)
+
+// RolloutSettings configures how a node takes part in roll-outs of service versions.
+type RolloutSettings struct {
+	Bounds rollout.Settings // without a share, versions of servers are ignored
+	// Counts returns what the node's traffic has counted of the roll-out of a decision.
+	Counts func(d rollout.Decision, guarded bool) rollout.Counts
+}
+
+// rolloutExchange runs roll-outs at one node: it keeps the decisions, exchanges them and the counts with the other nodes,
+// and decides at the node that leads reading the store. A nil rolloutExchange does nothing.
+type rolloutExchange struct {
+	fleet        *fleet.Machine
+	feed         *feed.Machine
+	counts       func(d rollout.Decision, guarded bool) rollout.Counts
+	record       *rollout.Record
+	planner      *rollout.Planner
+	decider      *rollout.Decider
+	guard        *rollout.Guard
+	peers        map[string]decidingPeer // by service
+	reports      map[string]sentReport   // by service
+	plans        *rollout.Plans
+	view         *member.View // that the plans and the decider have
+	stale        bool         // the plans may have changed
+	nextSyncAt   time.Time
+	nextGuardAt  time.Time
+	nextReportAt time.Time
+}
+
+// decidingPeer is the node that last sent a decision of a service as the one that decides.
+type decidingPeer struct {
+	key     member.Key
+	heardAt time.Time
+}
+
+// sentReport is the last report of a service's counts.
+type sentReport struct {
+	counts rollout.Counts
+	sentAt time.Time
+}
+
+// newRolloutExchange returns nil if versions of servers are ignored.
+func newRolloutExchange(s RolloutSettings, f *fleet.Machine, reader *feed.Machine) *rolloutExchange {
+	if s.Bounds.ExposureShare <= 0 {
+		return nil
+	}
+	return &rolloutExchange{
+		fleet: f, feed: reader, counts: s.Counts, record: rollout.NewRecord(), planner: rollout.NewPlanner(), decider: rollout.NewDecider(s.Bounds),
+		guard: rollout.NewGuard(), peers: make(map[string]decidingPeer), reports: make(map[string]sentReport),
+	}
+}
+
+// tick decides, guards and reports what is due.
+func (x *rolloutExchange) tick(now time.Time) []message.Action {
+	if x == nil {
+		return nil
+	}
+	x.stale = true
+	x.observeView(now)
+	out := x.run(now, x.decider.Lead(now, x.feed.Leads()))
+	out = append(out, x.run(now, x.decider.Tick(now))...)
+	if !now.Before(x.nextGuardAt) {
+		x.nextGuardAt = now.Add(guardInterval)
+		x.observeOwnCounts(now)
+	}
+	if !now.Before(x.nextReportAt) {
+		x.nextReportAt = now.Add(rollout.ReportInterval(len(x.fleet.View().Members())))
+		out = append(out, x.report(now)...)
+	}
+	return out
+}
+
+func (x *rolloutExchange) observeView(now time.Time) {
+	if view := x.fleet.View(); view != x.view {
+		x.view, x.stale = view, true
+		x.decider.ObserveMembers(now, view)
+	}
+}
+
+// observeOrders takes in the orders that were read with the operator's document.
+func (x *rolloutExchange) observeOrders(now time.Time, orders []rollout.Order) []message.Action {
+	if x == nil {
+		return nil
+	}
+	x.observeView(now)
+	var out []message.Action
+	for _, o := range orders {
+		seen := rollout.NewOrder(o.Service(), o.Target(), o.Limit(), o.Number(), now)
+		out = append(out, x.run(now, x.decider.ObserveOrder(now, seen))...)
+	}
+	return out
+}
+
+// receiveResult handles the result of a RolloutAction.
+func (x *rolloutExchange) receiveResult(now time.Time, r message.RolloutResult) []message.Action {
+	if x == nil {
+		return nil
+	}
+	switch request := r.Request().(type) {
+	case rollout.AppendDecision:
+		return x.run(now, x.decider.ObserveAppend(now, request, r.Result()))
+	case rollout.WriteStatus:
+		return x.run(now, x.decider.ObserveStatus(now, request, r.Result()))
+	case rollout.ReadDecisions:
+		if r.Err() != nil {
+			return x.run(now, x.decider.ObserveReadFailure(now))
+		}
+		return x.run(now, x.decider.ObserveDecisions(now, r.Decisions(), r.End()))
+	}
+	return nil
+}
+
+// run carries out what the decider wants done.
+func (x *rolloutExchange) run(now time.Time, actions []rollout.Action) []message.Action {
+	var out []message.Action
+	for _, a := range actions {
+		if announce, ok := a.(rollout.Announce); ok {
+			out = append(out, x.announce(now, announce.Decision())...)
+			continue
+		}
+		out = append(out, message.NewRolloutAction(a))
+	}
+	return out
+}
+
+// announce sends a decision of this node to all members.
+func (x *rolloutExchange) announce(now time.Time, d rollout.Decision) []message.Action {
+	x.merge(now, d)
+	x.confirm(now, x.fleet.Self().Key(), d)
+	return x.sendToAll(message.NewRolloutDecision(d, true))
+}
+
+func (x *rolloutExchange) sendToAll(body message.RolloutDecision) []message.Action {
+	var out []message.Action
+	for _, m := range x.fleet.View().Members() {
+		if m.Key().Peer() != x.fleet.Self().Key().Peer() {
+			out = append(out, message.NewSend(m.Key().Peer(), body))
+		}
+	}
+	return out
+}
+
+// receive handles decisions and counts of other nodes, and the hash of their records.
+func (x *rolloutExchange) receive(now time.Time, env message.Envelope) []message.Action {
+	if x == nil {
+		return nil
+	}
+	switch body := env.Body().(type) {
+	case message.RolloutDecision:
+		return x.receiveDecision(now, env.Sender(), body)
+	case message.RolloutCounts:
+		return x.receiveCounts(now, env.Sender(), body.Counts())
+	case message.Ping:
+		return x.repair(now, env.Sender(), body.Summary())
+	case message.Ack:
+		return x.repair(now, env.Sender(), body.Summary())
+	case message.SyncReq:
+		if body.Mode() == message.SyncJoin {
+			return x.sendRecord(now, env.Sender())
+		}
+	}
+	return nil
+}
+
+func (x *rolloutExchange) receiveDecision(now time.Time, from member.Key, body message.RolloutDecision) []message.Action {
+	d := body.Decision()
+	x.merge(now, d)
+	if body.Confirmed() {
+		x.confirm(now, from, d)
+	}
+	return x.run(now, x.decider.ObserveAnnouncement(now, d))
+}
+
+// receiveCounts answers with the decision in force if this node decides.
+func (x *rolloutExchange) receiveCounts(now time.Time, from member.Key, c rollout.Counts) []message.Action {
+	out := x.run(now, x.decider.ObserveCounts(now, from, c))
+	if d, ok := x.decider.Decision(now, c.Service()); ok {
+		out = append(out, message.NewSend(from.Peer(), message.NewRolloutDecision(d, true)))
+	}
+	return out
+}
+
+func (x *rolloutExchange) merge(now time.Time, d rollout.Decision) {
+	if x.record.Merge(now, d) {
+		x.stale = true
+		x.fleet.SetRolloutDigest(x.record.Digest())
+	}
+}
+
+// confirm notes contact to the node that decides, unless its decision is out of date.
+func (x *rolloutExchange) confirm(now time.Time, from member.Key, d rollout.Decision) {
+	if current, ok := x.record.Get(now, d.Service()); !ok || d.Sequence() < current.Sequence() {
+		return
+	}
+	x.record.Confirm(now, d.Service(), d.Sequence())
+	x.peers[d.Service()] = decidingPeer{key: from, heardAt: now}
+	x.stale = true
+}
+
+// repair sends the decisions to a node whose record differs.
+func (x *rolloutExchange) repair(now time.Time, to member.Key, s message.Summary) []message.Action {
+	if s.Rollouts() == x.record.Digest() || now.Before(x.nextSyncAt) {
+		return nil
+	}
+	x.nextSyncAt = now.Add(rolloutSyncInterval)
+	return x.sendRecord(now, to)
+}
+
+func (x *rolloutExchange) sendRecord(now time.Time, to member.Key) []message.Action {
+	var out []message.Action
+	for _, d := range x.record.All(now) {
+		out = append(out, message.NewSend(to.Peer(), message.NewRolloutDecision(d, false)))
+	}
+	return out
+}
+
+// halt stops the roll-out of a service for an operator. Every node may halt, and the one that decides takes it over.
+func (x *rolloutExchange) halt(now time.Time, service string) []message.Action {
+	if x == nil {
+		return nil
+	}
+	if actions, ok := x.decider.Halt(now, service, operatorHalt); ok {
+		return x.run(now, actions)
+	}
+	d, ok := x.record.Get(now, service)
+	if !ok || d.Final() {
+		return nil
+	}
+	halted := d.WithHalt(operatorHalt)
+	x.merge(now, halted)
+	return append(x.run(now, x.decider.ObserveAnnouncement(now, halted)), x.sendToAll(message.NewRolloutDecision(halted, false))...)
+}
+
+// observeOwnCounts shows the node's own counts to its guard.
+func (x *rolloutExchange) observeOwnCounts(now time.Time) {
+	for _, d := range x.record.All(now) {
+		if d.Final() {
+			x.guard.Forget(d.Service())
+			delete(x.reports, d.Service())
+			continue
+		}
+		if x.guard.Observe(now, x.counts(d, false)) {
+			x.nextReportAt = now
+		}
+	}
+}
+
+// report sends the counts of each running roll-out to the node that decides, if they have changed or were not answered.
+func (x *rolloutExchange) report(now time.Time) []message.Action {
+	var out []message.Action
+	for _, d := range x.record.All(now) {
+		if d.Final() {
+			continue
+		}
+		c := x.counts(d, x.guard.Stopped(d.Service()))
+		if x.decider.Leads() {
+			out = append(out, x.run(now, x.decider.ObserveCounts(now, x.fleet.Self().Key(), c))...)
+			x.record.Confirm(now, d.Service(), d.Sequence())
+			continue
+		}
+		peer, known := x.peers[d.Service()]
+		last, reported := x.reports[d.Service()]
+		if !known || peer.key.Peer() == x.fleet.Self().Key().Peer() || reported && sameCounts(last.counts, c) && peer.heardAt.After(last.sentAt) {
+			continue
+		}
+		x.reports[d.Service()] = sentReport{counts: c, sentAt: now}
+		out = append(out, sendCounts(peer.key, c)...)
+	}
+	return out
+}
+
+// sendCounts sends counts in as many messages as their routes need.
+func sendCounts(to member.Key, c rollout.Counts) []message.Action {
+	var out []message.Action
+	for routes := c.Routes(); ; routes = routes[message.MaxCountedRoutes:] {
+		part := rollout.NewCounts(rollout.CountsFields{
+			Service: c.Service(), Order: c.Order(), Sequence: c.Sequence(), Routes: routes[:min(message.MaxCountedRoutes, len(routes))],
+			InFlightBase: c.InFlightBase(), InFlightTarget: c.InFlightTarget(), Guarded: c.Guarded(),
+		})
+		out = append(out, message.NewSend(to.Peer(), message.NewRolloutCounts(part)))
+		if len(routes) <= message.MaxCountedRoutes {
+			return out
+		}
+	}
+}
+
+func sameCounts(a, b rollout.Counts) bool {
+	return a.Order() == b.Order() && a.Sequence() == b.Sequence() && a.Guarded() == b.Guarded() && a.InFlightBase() == b.InFlightBase() &&
+		a.InFlightTarget() == b.InFlightTarget() && slices.Equal(a.Routes(), b.Routes())
+}
+
+// update refreshes the plans after an event and returns them, nil if versions of servers are ignored.
+func (x *rolloutExchange) update(now time.Time) *rollout.Plans {
+	if x == nil {
+		return nil
+	}
+	x.observeView(now)
+	if x.stale {
+		x.stale = false
+		x.plans = x.planner.Update(now, x.view, x.record, x.guard.Stopped)
+	}
+	return x.plans
+}
--- a/control/sidecar.go
+++ b/control/sidecar.go
@@ -18,14 +18,17 @@
 	Fleet fleet.Settings
 	Feed  feed.Settings
 	Gone  func(err error) bool // reports whether a read error means that the store does not have the requested offset; required
+
+	Rollouts RolloutSettings
 }
 
 // Sidecar is the control state of a node that takes the operator's document from the platform's store: membership,
-// distribution of the document and the requests that crash servers. It is not safe for concurrent use, but its Snapshots are.
+// distribution of the document, the requests that crash servers and roll-outs of service versions. It is not safe for concurrent use, but its Snapshots are.
 type Sidecar struct {
 	*quarantineExchange
 	fleet         *fleet.Machine
 	feed          *feed.Machine
+	rollouts      *rolloutExchange // nil if versions of servers are ignored
 	isGone        func(error) bool
 	snapshot      *routing.Snapshot
 	readStartedAt time.Time // when the last ReadLog was issued
@@ -34,10 +37,12 @@
 // NewSidecar returns the control state of a node without routes.
 func NewSidecar(settings SidecarSettings, rnd *rand.Rand) *Sidecar {
 	f := fleet.New(settings.Self, settings.Fleet, rnd)
+	reader := feed.New(settings.Feed, rnd)
 	return &Sidecar{
 		quarantineExchange: newQuarantineExchange(f, rnd),
 		fleet:              f,
-		feed:               feed.New(settings.Feed, rnd),
+		feed:               reader,
+		rollouts:           newRolloutExchange(settings.Rollouts, f, reader),
 		isGone:             settings.Gone,
 	}
 }
@@ -46,13 +51,15 @@
 func (c *Sidecar) Tick(now time.Time) []message.Action {
 	c.tick(now)
 	out := c.fleet.Tick(now)
-	return c.update(now, append(out, c.feed.Tick(now, c.fleet.View())...))
+	out = append(out, c.feed.Tick(now, c.fleet.View())...)
+	return c.update(now, append(out, c.rollouts.tick(now)...))
 }
 
 // Receive handles a message from another node.
 func (c *Sidecar) Receive(now time.Time, env message.Envelope) []message.Action {
 	out := append(c.fleet.Receive(now, env), c.receive(now, env)...)
-	return c.update(now, append(out, c.feed.Receive(now, c.fleet.View(), env)...))
+	out = append(out, c.feed.Receive(now, c.fleet.View(), env)...)
+	return c.update(now, append(out, c.rollouts.receive(now, env)...))
 }
 
 // ReceiveLogPage handles the result of a ReadLog. The document's reader learns from it how fast the store answers and
@@ -72,7 +79,18 @@
 // ReceiveDocumentPage handles the result of a ReadDocument.
 func (c *Sidecar) ReceiveDocumentPage(now time.Time, page message.DocumentPage) []message.Action {
 	out := c.fleet.ObserveStoreEra(now, page.Era())
-	return c.update(now, append(out, c.feed.ReceivePage(now, page, page.Err() != nil && c.isGone(page.Err()))...))
+	out = append(out, c.feed.ReceivePage(now, page, page.Err() != nil && c.isGone(page.Err()))...)
+	return c.update(now, append(out, c.rollouts.observeOrders(now, page.Orders())...))
+}
+
+// ReceiveRolloutResult handles the result of a RolloutAction.
+func (c *Sidecar) ReceiveRolloutResult(now time.Time, r message.RolloutResult) []message.Action {
+	return c.update(now, c.rollouts.receiveResult(now, r))
+}
+
+// HaltRollout handles the request of an operator to halt the roll-out of a service.
+func (c *Sidecar) HaltRollout(now time.Time, h message.RolloutHalt) []message.Action {
+	return c.update(now, c.rollouts.halt(now, h.Service()))
 }
 
 // SetServer sets the state of the local backend server, as this node judges it.
@@ -91,14 +109,14 @@
 		}
 	}
 	c.fleet.SetDigest(message.NewDigest(c.feed.Version(), record.Offset(0), 0))
-	table, view := c.feed.Table(), c.fleet.View()
-	if table != nil && (c.snapshot == nil || c.snapshot.Table() != table || c.snapshot.View() != view) {
-		c.snapshot = routing.NewSnapshot(table, view)
+	table, view, plans := c.feed.Table(), c.fleet.View(), c.rollouts.update(now)
+	if table != nil && (c.snapshot == nil || c.snapshot.Table() != table || c.snapshot.View() != view || c.snapshot.Plans() != plans) {
+		c.snapshot = routing.NewSnapshot(table, view).WithPlans(plans)
 	}
 	return actions
 }
 
-// Snapshot returns the routes in force and the view of the fleet, or nil while the node has no routes.
+// Snapshot returns the routes in force, the view of the fleet and the plans of roll-outs, or nil while the node has no routes.
 func (c *Sidecar) Snapshot() *routing.Snapshot { return c.snapshot }
 
 // Joined reports whether another node has answered a view comparison in full. Unlike with a Core, the only node of a
--- a/feed/reading.go
+++ b/feed/reading.go
@@ -22,6 +22,7 @@
 	minLatency          time.Duration // of the reads that the store did not hold open
 	latencyKnown        bool
 	isSubstitute        bool // reads because the readers with precedence were silent
+	succeededAt         time.Time
 }
 
 // nearStore reports whether the store is in the node's region, as far as measured.
@@ -143,7 +144,7 @@
 	if !r.longPoll {
 		r.observeLatency(m.now.Sub(r.readStartedAt))
 	}
-	r.consecutiveFailures, r.nextReadAt = 0, m.now
+	r.consecutiveFailures, r.nextReadAt, r.succeededAt = 0, m.now, m.now
 	if sameEra || r.readsNewest {
 		r.nextOffsetKnown, r.nextOffset = true, page.Next()
 	}
@@ -195,3 +196,10 @@
 func (m *Machine) announcesUnchanged() bool {
 	return (m.reader.isSubstitute || m.isReader()) && m.now.Sub(m.preferredReaderSeenAt) >= m.settings.SilenceTimeout
 }
+
+// Leads reports whether the node is the reader with the highest precedence, as far as it knows. A reader whose reads fail
+// stops leading when another node reads the store meanwhile. While the store answers nobody, it goes on.
+func (m *Machine) Leads() bool {
+	overtaken := m.reader.consecutiveFailures > 0 && m.confirmedAt.After(m.reader.succeededAt)
+	return m.announcesUnchanged() && !overtaken
+}
