proxy: choose and count the version of the server for each request

With a plan the side of a request, base or target version, is drawn once by an even sequence and kept for its retries, as far as the share in force still allows it. The balancer chooses among the servers of that side. The node beside the server refuses a request for another version, as an address may have been given to another server (header Bn-Version, only with a plan). While a roll-out runs, attempts are counted by route and version with failures and run times. A request whose side has no server left goes to the base version.

--- a/proxy/header.go
+++ b/proxy/header.go
@@ -17,10 +17,11 @@
 // Headers of requests between nodes. Each packs its fields into one line, because traffic between regions is billed by
 // the byte.
 const (
-	headerCall   = "Bn-Call"
-	headerResult = "Bn-Result"
-	headerServer = "Bn-Server"
-	headerTrial  = "Bn-Trial" // only in the trial of a quarantined request
+	headerCall    = "Bn-Call"
+	headerResult  = "Bn-Result"
+	headerServer  = "Bn-Server"
+	headerTrial   = "Bn-Trial"   // only in the trial of a quarantined request
+	headerVersion = "Bn-Version" // only if the fleet moves traffic between versions
 )
 
 // Call is the metadata of a request that the node on the server's VM needs.
@@ -33,6 +34,7 @@
 	timeLeft     time.Duration // until the deadline of the request
 	timeToTarget time.Duration // until the target latency is exceeded; negative afterwards
 	trial        int           // number of the trial if the request is quarantined; not part of the encoded form
+	version      string        // only a server of it may run the request, "" for any; not part of the encoded form
 }
 
 // RequestID returns the ID of the request: the attempt ID that the caller sent, which differs when the caller retries.
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -30,6 +30,7 @@
 	Service     func() string            // returns the service on the VM
 	Owner       *Owner                   // of the server on the VM
 	Quarantine  func() *quarantine.View  // returns the requests that crash servers; nil means that there are none
+	Versions    *VersionCounters         // of roll-outs; nil if versions of servers are ignored
 	Pool        exchange.PoolSettings    // of connections to other nodes
 	Retry       retry.WindowBudgetSettings
 	Balance     balance.Settings
@@ -52,6 +53,7 @@
 	balancer     *balance.Machine
 	retryBudgets map[string]*retry.WindowBudget
 	splitter     *routing.Splitter
+	versions     versionRouter
 	retries      *retry.Tracker   // of callers
 	statements   *statementMemory // of servers
 	maxNodes     int              // greatest number of members in any view so far
@@ -73,6 +75,7 @@
 		balancer:      balance.New(s.Balance, s.Self, s.Place, s.Rand),
 		retryBudgets:  make(map[string]*retry.WindowBudget),
 		splitter:      routing.NewSplitter(s.Rand),
+		versions:      newVersionRouter(s.Rand.Float64),
 		retries:       retry.NewTracker(),
 		statements:    newStatementMemory(),
 	}
@@ -97,6 +100,7 @@
 	r.Header().Del(headerCall) // only nodes may set these
 	r.Header().Del(headerServer)
 	r.Header().Del(headerTrial)
+	r.Header().Del(headerVersion)
 	response, request := in.handle(ctx, info, r)
 	platform.SetAttemptID(response.Header(), info.AttemptID())
 	in.trackFailure(request, response)
@@ -145,6 +149,7 @@
 	snapshot            *routing.Snapshot
 	route               routing.Route
 	service             string
+	version             versionChoice
 	timeout             time.Duration // from receipt to deadline
 	callerTimeout       time.Duration // from receipt until the caller stops waiting and retrying
 	tried               []member.Key  // nodes asked so far
@@ -167,6 +172,15 @@
 	}
 }
 
+// callTo returns the metadata for the node on the VM of a member's server.
+func (q *request) callTo(now time.Time, caller string, to member.Member) Call {
+	c := q.call(now, caller)
+	if q.version.plan != nil {
+		c.version = to.Server().Version()
+	}
+	return c
+}
+
 // maxNodesTried is the maximum number of nodes asked for one request.
 const maxNodesTried = 4
 
@@ -282,7 +296,11 @@
 		in.lastView = q.snapshot.View()
 		in.maxNodes = max(in.maxNodes, len(in.lastView.Members()))
 	}
-	to, ok := in.balancer.Choose(now, q.snapshot.View(), q.service, q.tried)
+	in.versions.route(now, q, in.plan(q.service))
+	to, ok := in.balancer.ChooseFiltered(now, q.snapshot.View(), q.service, in.versions.filter(q), q.tried)
+	if !ok && q.version.fallBack(now) {
+		to, ok = in.balancer.ChooseFiltered(now, q.snapshot.View(), q.service, in.versions.filter(q), q.tried)
+	}
 	if ok {
 		in.balancer.RecordStart(to.Key())
 	}
@@ -294,7 +312,8 @@
 	now := in.settings.Timers.Now()
 	ctx, cancel := context.WithTimeout(ctx, q.deadline().Sub(now))
 	defer cancel()
-	c := q.call(now, in.settings.Service())
+	c := q.callTo(now, in.settings.Service(), to)
+	version := in.startVersionAttempt(q, to)
 	r := exchange.NewRequest(q.original.Method(), q.original.Target(), q.original.Host(), q.original.Header().Clone(), q.original.Body())
 	var result Result
 	if to.Key().Peer() == in.self().Peer() {
@@ -302,7 +321,9 @@
 	} else {
 		result = in.forward(ctx, c, r, to.Key().Peer())
 	}
-	in.recordResult(to.Key(), result, in.settings.Timers.Now().Sub(now))
+	took := in.settings.Timers.Now().Sub(now)
+	version.end(result, took)
+	in.recordResult(to.Key(), result, took)
 	return result
 }
 
@@ -313,6 +334,9 @@
 		r.Header().Set(headerServer, encodeStatement(known))
 	}
 	setTrial(r.Header(), c.trial)
+	if c.version != "" {
+		r.Header().Set(headerVersion, c.version)
+	}
 	response, err := in.pool.Do(ctx, to, r, func(h http.Header) exchange.Match { return resultMatch(h, c.requestID) })
 	switch {
 	case exchange.NotSent(err):
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -135,14 +135,14 @@
 	return queued
 }
 
-// readyBackend returns the server if it accepts new requests for a service. The VM may have been given to another service
-// since the node of the caller chose it.
-func (o *Owner) readyBackend(service string) (Backend, Reason, bool) {
+// readyBackend returns the server if it accepts new requests like a call. The VM may have been given to another service or to
+// a server of another version since the node of the caller chose it.
+func (o *Owner) readyBackend(c Call) (Backend, Reason, bool) {
 	b, ok := o.Backend()
 	switch {
 	case !ok || b.server.State() == member.ServerNone:
 		return b, ReasonNoServer, false
-	case b.server.Service() != service:
+	case b.server.Service() != c.service, c.version != "" && b.server.Version() != c.version:
 		return b, ReasonOtherServer, false
 	case b.server.State() == member.ServerDraining:
 		return b, ReasonDraining, false
@@ -157,10 +157,11 @@
 		return exchange.NewResponse(http.StatusBadRequest, nil, nil).WithClose()
 	}
 	o.adopt(decodeStatement(r.Header().Get(headerServer)), c.requestID)
-	c.trial = trialOf(r.Header())
+	c.trial, c.version = trialOf(r.Header()), r.Header().Get(headerVersion)
 	r.Header().Del(headerCall)
 	r.Header().Del(headerServer)
 	r.Header().Del(headerTrial)
+	r.Header().Del(headerVersion)
 	result := o.Serve(ctx, c, r)
 	response := result.response
 	if response == nil {
@@ -184,7 +185,7 @@
 }
 
 func (o *Owner) serve(ctx context.Context, c Call, r *exchange.Request, start time.Time) Result {
-	if _, reason, ok := o.readyBackend(c.service); !ok {
+	if _, reason, ok := o.readyBackend(c); !ok {
 		return notRun(reason)
 	}
 	if s := o.plannedShutdown.Load(); s != nil && !s.admits(start, c.timeLeft) {
@@ -245,7 +246,7 @@
 
 // run sends a request that holds a slot to the server.
 func (o *Owner) run(ctx context.Context, c Call, r *exchange.Request, id *identity, deadline time.Time) Result {
-	b, reason, ok := o.readyBackend(c.service)
+	b, reason, ok := o.readyBackend(c)
 	if !ok {
 		return notRun(reason)
 	}
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -55,7 +55,7 @@
 		return last
 	}
 	to, ok := quarantine.TrialNode(q.snapshot.View(), q.service, q.identity.get().Content())
-	if !ok || now.Before(s.NextTrialAt()) {
+	if !ok || now.Before(s.NextTrialAt()) || !in.versionAllows(now, q, to) {
 		return quarantineRefusal(now, s)
 	}
 	q.trial = s.NextTrial()
--- a/proxy/starting.go
+++ b/proxy/starting.go
@@ -90,7 +90,7 @@
 	for len(q.tried) == 0 && in.starting.isStarting() {
 		change := in.starting.nextChange()
 		if current := in.settings.Snapshot(); current != nil && current.View() != q.snapshot.View() {
-			q.snapshot = routing.NewSnapshot(q.snapshot.Table(), current.View())
+			q.snapshot = routing.NewSnapshot(q.snapshot.Table(), current.View()).WithPlans(current.Plans())
 			return true
 		}
 		if !in.starting.await(ctx, change, limit) {
