node, control, operator, query: store and operators' side of roll-outs

rolloutStore executes reads and writes of decisions outside the control loop, like documentReader. Each step is logged with its figures and counted, ignored orders are logged once, and bambooknot rollouts lists roll-outs and halts them from the node's own VM. Any node may halt; the node that decides takes the halt over and rolls back.

--- a/command/release.go
+++ b/command/release.go
@@ -59,3 +59,12 @@
 	}
 	return operator.NewQuarantineClient(addr, &http.Client{Timeout: o.RequestTimeout, Transport: &http.Transport{}}), nil
 }
+
+// RolloutClient returns a client of the sidecar. It fails only if the address is invalid.
+func (o SidecarOptions) RolloutClient() (*operator.RolloutClient, error) {
+	addr, err := parseNode(o.Node)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewRolloutClient(addr, &http.Client{Timeout: o.RequestTimeout, Transport: &http.Transport{}}), nil
+}
--- a/node/observehandler.go
+++ b/node/observehandler.go
@@ -23,9 +23,10 @@
 }
 
 // newSidecarObserveHandler returns the handler of a sidecar's metrics port.
-func newSidecarObserveHandler(metrics http.Handler, quarantine *quarantineView) http.Handler {
+func newSidecarObserveHandler(metrics http.Handler, quarantine *quarantineView, rollouts *rolloutView) http.Handler {
 	mux := http.NewServeMux()
 	quarantine.register(mux)
+	rollouts.register(mux)
 	mux.Handle("/", metrics)
 	return mux
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -88,8 +88,7 @@
 
 // serveRelease releases a content. Only clients on the VM may do so, as the port is open to all that collect metrics.
 func (v *quarantineView) serveRelease(w http.ResponseWriter, r *http.Request) {
-	from, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil || !from.Addr().IsLoopback() && from.Addr() != v.address {
+	if !fromOwnVM(r, v.address) {
 		http.Error(w, "a content can be released from the node's own VM only", http.StatusForbidden)
 		return
 	}
@@ -102,3 +101,9 @@
 	v.post(message.NewContentReleased(content))
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// fromOwnVM reports whether a request comes from the VM with an address.
+func fromOwnVM(r *http.Request, vm netip.Addr) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	return err == nil && (from.Addr().IsLoopback() || from.Addr() == vm)
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -23,6 +23,7 @@
 	"github.com/bambooknot/bambooknot/proxy"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/retry"
+	"github.com/bambooknot/bambooknot/rollout"
 	"github.com/bambooknot/bambooknot/routing"
 	"github.com/bambooknot/bambooknot/setting"
 	"github.com/bambooknot/bambooknot/timer"
@@ -46,6 +47,8 @@
 
 	snapshot          atomic.Pointer[routing.Snapshot] // nil until the node has routes
 	quarantine        *quarantineView
+	rollouts          *rolloutView
+	versions          *proxy.VersionCounters // nil if versions of servers are ignored
 	joined            atomic.Bool // whether the node has joined the fleet
 	queue             *eventQueue
 	core              *control.Sidecar // owned by the loop
@@ -59,6 +62,7 @@
 	peers           *peerTransport
 	logClient       *logClient
 	documents       *documentReader
+	rolloutStore    *rolloutStore
 	heartbeats      *heartbeatHandler
 	bodies          *exchange.Budget // memory of bodies that are being read
 	owner           *proxy.Owner
@@ -116,6 +120,9 @@
 	bodies := exchange.NewBudget(int(bodyMemoryShare * float64(s.MemoryLimit())))
 	n.bodies = bodies
 	n.quarantine = newQuarantineView(n.log, n.clock, s.MetricsAddress().Addr(), n.post)
+	if s.Rollouts().Enabled() {
+		n.versions = proxy.NewVersionCounters()
+	}
 	n.owner = proxy.NewOwner(proxy.OwnerSettings{
 		Timers: n.clock, Log: n.log, AnsweredLog: routine, Scope: scope, Budget: bodies, OnLeaving: n.onServerLeaving, OnEnded: n.onServerEnded,
 		Quarantine: n.quarantine.load, OnCrash: n.quarantine.onCrash, OnCleared: n.quarantine.onCleared, OnTrial: n.quarantine.onTrial,
@@ -127,6 +134,7 @@
 		Service:    func() string { return n.settings.Load().Service() },
 		Owner:      n.owner,
 		Quarantine: n.quarantine.load,
+		Versions:   n.versions,
 		Pool:       exchange.PoolSettings{Dial: dialer.DialCalls, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerPeer: maxIdlePerPeer, MaxHeaderBytes: maxPeerHeaderBytes, MaxBodyBytes: maxPeerBodyBytes, Budget: bodies},
 		Retry: retry.WindowBudgetSettings{
 			Span: s.RetryBudget().Window(), Share: s.RetryBudget().Share() * retry.FleetSafetyFactor, Reserve: float64(s.RetryBudget().Reserve()) * retry.FleetSafetyFactor,
@@ -150,6 +158,14 @@
 	})
 }
 
+// rolloutBounds returns the bounds of roll-outs for the control loop, the zero value if versions of servers are ignored.
+func rolloutBounds(b setting.RolloutBounds) rollout.Settings {
+	if !b.Enabled() {
+		return rollout.Settings{}
+	}
+	return rollout.Settings{ExposureShare: b.ExposureShare(), ExposureSlack: b.ExposureSlack(), RollbackTime: b.RollbackTime()}
+}
+
 // offsetGone reports whether an error means that the store does not have the requested offset, any more or again.
 func offsetGone(err error) bool {
 	class := platform.ClassOf(err)
@@ -174,11 +190,15 @@
 		Fleet: fleetSettings,
 		Feed:  feed.Settings{Self: self, Decode: platform.DecodeTable, FirstStart: s.FirstStart()},
 		Gone:  offsetGone,
+
+		Rollouts: control.RolloutSettings{Bounds: rolloutBounds(s.Rollouts()), Counts: n.versions.Counts},
 	}, rnd)
 	client := &http.Client{Transport: &http.Transport{DialContext: dialHTTP, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeaderBytes}}
 	store := platform.NewLog(s.StoreAddress(), client)
 	n.logClient = newLogClient(store, documentTimeout, documentTimeout, n.post)
 	n.documents = newDocumentReader(store, n.log, n.post)
+	n.rolloutStore = newRolloutStore(store, n.log, n.post)
+	n.rollouts = newRolloutView(n.log, n.clock, n.metrics.Scope(), s.MetricsAddress().Addr(), n.queue)
 	n.peers = newPeerTransport(sockets.peer, sidecarFleet, self.Key(), link.NewDialer(sidecarFleet), n.queue.tryPost, n.peerServer.ServeConn, n.metrics.Scope())
 	n.heartbeats = newHeartbeatHandler(n.clock, s.HeartbeatInterval(), s.FirstStart(), n.healthPath, n.onServerChange, n.log)
 	n.loop = newEventLoop(n.clock, n.queue, n.handle)
@@ -195,7 +215,7 @@
 func (n *Sidecar) startServers(s setting.Sidecar, sockets sidecarSockets) {
 	n.heartbeatServer = newHTTPServer(sockets.server, n.heartbeats)
 	n.readinessServer = newHTTPServer(sockets.ready, http.HandlerFunc(n.serveReady))
-	n.metricsServer = newHTTPServer(sockets.metrics, newSidecarObserveHandler(n.metrics.Handler(), n.quarantine))
+	n.metricsServer = newHTTPServer(sockets.metrics, newSidecarObserveHandler(n.metrics.Handler(), n.quarantine, n.rollouts))
 	n.callerServer = exchange.NewServer(sockets.callers, exchange.Settings{
 		Handle: n.ingress.Handle,
 		Limits: func() exchange.Limits {
@@ -298,6 +318,9 @@
 	scope.Gauge("requests_quarantined").Update(float64(len(n.quarantine.load().Quarantined())))
 	scope.Gauge("callers_active").Update(float64(n.callerServer.ActiveRequests()))
 	n.queue.query(func() {
+		if n.versions != nil {
+			n.rollouts.recordGauges(n.core)
+		}
 		f := n.core.Feed()
 		scope.Gauge("routes_version").Update(float64(f.Version()))
 		scope.Gauge("routes_proof_age_seconds").Update(now.Sub(f.ConfirmedAt()).Seconds())
@@ -337,6 +360,7 @@
 		n.loop.Close()
 		n.logClient.Close()
 		n.documents.Close()
+		n.rolloutStore.Close()
 		n.peers.Close()
 		n.peerServer.Close()
 		n.ingress.Close()
--- a/node/sidecarcontrol.go
+++ b/node/sidecarcontrol.go
@@ -21,6 +21,7 @@
 		n.ingress.SetSelf(self)
 	}
 	n.publish()
+	n.rollouts.publish(n.core)
 	n.logRejectedDocuments()
 	n.logStoreEra()
 }
@@ -55,8 +56,15 @@
 
 func (n *Sidecar) dispatch(e message.Event) []message.Action {
 	now := n.clock.Now()
-	if page, ok := e.(message.DocumentPage); ok {
-		return n.core.ReceiveDocumentPage(now, page)
+	switch e := e.(type) {
+	case message.DocumentPage:
+		n.rollouts.logMalformed(e.MalformedOrders())
+		return n.core.ReceiveDocumentPage(now, e)
+	case message.RolloutResult:
+		n.rollouts.logResult(e)
+		return n.core.ReceiveRolloutResult(now, e)
+	case message.RolloutHalt:
+		return n.core.HaltRollout(now, e)
 	}
 	return dispatch(n.core, now, e)
 }
@@ -72,6 +80,8 @@
 		n.logClient.append(a)
 	case message.ReadDocument:
 		n.documents.read(a)
+	case message.RolloutAction:
+		n.rolloutStore.execute(a)
 	}
 }
 
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -64,25 +64,24 @@
 
 // QuarantineClient asks one sidecar for the requests that servers crashed with.
 type QuarantineClient struct {
-	address    netip.AddrPort
-	httpClient *http.Client
+	port metricsPort
 }
 
 // NewQuarantineClient returns a client of the metrics port at the given address.
 func NewQuarantineClient(address netip.AddrPort, client *http.Client) *QuarantineClient {
-	return &QuarantineClient{address: address, httpClient: client}
+	return &QuarantineClient{port: metricsPort{step: "operator.quarantine", address: address, httpClient: client}}
 }
 
 // List returns the contents that are quarantined.
 func (c *QuarantineClient) List(ctx context.Context) ([]QuarantinedContent, error) {
-	resp, err := c.do(ctx, http.MethodGet, QuarantinePath)
+	resp, err := c.port.do(ctx, http.MethodGet, QuarantinePath)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
 	var rows []quarantinedContentJSON
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBody)).Decode(&rows); err != nil {
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(err)
+		return nil, oops.In("operator.quarantine").With("peer", c.port.address).Wrap(err)
 	}
 	var contents []QuarantinedContent
 	for _, r := range rows {
@@ -93,26 +92,33 @@
 
 // Release releases a content, given in hexadecimal digits, on all nodes.
 func (c *QuarantineClient) Release(ctx context.Context, content string) error {
-	resp, err := c.do(ctx, http.MethodPost, ReleasePath+"?"+url.Values{ContentParameter: {content}}.Encode())
+	resp, err := c.port.do(ctx, http.MethodPost, ReleasePath+"?"+url.Values{ContentParameter: {content}}.Encode())
 	if err != nil {
 		return err
 	}
 	return resp.Body.Close()
 }
 
-func (c *QuarantineClient) do(ctx context.Context, method, path string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address.String()+path, nil)
+// metricsPort sends requests to the metrics port of one node. Errors carry the step.
+type metricsPort struct {
+	step       string
+	address    netip.AddrPort
+	httpClient *http.Client
+}
+
+func (p metricsPort) do(ctx context.Context, method, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.address.String()+path, nil)
 	if err != nil {
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(err)
+		return nil, oops.In(p.step).With("peer", p.address).Wrap(err)
 	}
-	resp, err := c.httpClient.Do(req)
+	resp, err := p.httpClient.Do(req)
 	if err != nil {
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(err)
+		return nil, oops.In(p.step).With("peer", p.address).Wrap(err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText)) // what was read of the text is shown
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(&RejectedError{status: resp.StatusCode, message: string(text)})
+		return nil, oops.In(p.step).With("peer", p.address).Wrap(&RejectedError{status: resp.StatusCode, message: string(text)})
 	}
 	return resp, nil
 }
