--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // subsets is the number of sets of cohorts that are judged: all cohorts, and all but one each.
 const subsets = Cohorts + 1
@@ -17,8 +20,10 @@
 
 // slice holds the responses of one route in a span of time.
 type slice struct {
-	base   histogram
-	target [Cohorts]histogram
+	begunAt  time.Time
+	requests uint64 // at the target version
+	base     histogram
+	target   [Cohorts]histogram
 }
 
 func (s *slice) add(base Tally, target [Cohorts]Tally) {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -9,9 +9,15 @@
 )
 
 const (
-	// sliceLength is the span of time over which base and target are compared. Faults of both versions begin and end within
-	// a run, so the whole run must not be compared at once.
+	// sliceLength is the least span of time over which base and target are compared. Faults of both versions begin and end
+	// within a run, so the whole run must not be compared at once.
 	sliceLength = 500 * time.Millisecond
+	// maxSliceLength is the greatest span, for routes that have fewer than sliceRequests at the target version in less. Any
+	// few requests fit some good version well enough.
+	maxSliceLength = 3 * time.Second
+	sliceRequests  = 8
+	// markDelay is the time from a change of the share to the end of the reports about the time before.
+	markDelay = 100 * time.Millisecond
 	// startingPeriod is the time after the first responses of the target version in which its servers count as cold.
 	startingPeriod = 5 * time.Second
 	// badThreshold is the strength of evidence, the logarithm of a likelihood ratio, from which a version counts as bad.
@@ -52,6 +58,7 @@
 	sliceEnd     time.Time
 	firstBaseAt  time.Time
 	firstAt      time.Time // of the target version's responses
+	marking      bool      // slices are closed at sliceEnd whatever they hold, and goodnessSinceMark begins
 	base, target map[string]uint64
 }
 
@@ -88,9 +95,10 @@
 	}
 	for _, route := range [...]string{r.route, totalRoute} {
 		if j.slices[route] == nil {
-			j.slices[route] = &slice{}
+			j.slices[route] = &slice{begunAt: now}
 		}
 		j.slices[route].add(r.base, r.target)
+		j.slices[route].requests += target
 		j.base[route] += r.base.Requests()
 		j.target[route] += target
 	}
@@ -102,27 +110,36 @@
 	}
 }
 
-// advance closes the current slice if it is over.
+// advance closes the slices that are long enough.
 func (j *Judge) advance(now time.Time) {
 	if now.Before(j.sliceEnd) {
 		return
 	}
 	j.sliceEnd = now.Add(sliceLength)
+	marked := j.marking
+	j.marking = false
 	for route, s := range j.slices {
+		if !marked && s.requests < sliceRequests && now.Sub(s.begunAt) < maxSliceLength {
+			continue
+		}
 		if j.evidence[route] == nil {
 			j.evidence[route] = &evidence{}
 		}
 		j.evidence[route].add(s, now.Sub(j.firstAt) < startingPeriod)
 		delete(j.slices, route)
 	}
+	if marked {
+		for _, e := range j.evidence {
+			e.sinceMark = [subsets][hypothesisCount]float64{}
+		}
+	}
 }
 
-// mark begins the time that goodnessSinceMark covers.
+// mark begins the time that goodnessSinceMark covers, at a change of the share. Slices do not extend over it: base and
+// target would be counted over different times.
 func (j *Judge) mark(now time.Time) {
 	j.advance(now)
-	for _, e := range j.evidence {
-		e.sinceMark = [subsets][hypothesisCount]float64{}
-	}
+	j.marking, j.sliceEnd = true, now.Add(markDelay)
 }
 
 // goodness returns the least strength of evidence for a good version over all routes with traffic.
