--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -49,7 +49,7 @@
 	quarantine        *quarantineView
 	rollouts          *rolloutView
 	versions          *proxy.VersionCounters // nil if versions of servers are ignored
-	joined            atomic.Bool // whether the node has joined the fleet
+	joined            atomic.Bool            // whether the node has joined the fleet
 	queue             *eventQueue
 	core              *control.Sidecar // owned by the loop
 	self              member.Key       // owned by the loop
