--- a/control/rollout.go
+++ b/control/rollout.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -42,6 +43,9 @@
 	plans        *rollout.Plans
 	view         *member.View // that the plans and the decider have
 	stale        bool         // the plans may have changed
+	heardAt      time.Time    // when counts of another node arrived last
+	appendedAt   time.Time    // when an append ended last
+	nextVerifyAt time.Time
 	nextSyncAt   time.Time
 	nextGuardAt  time.Time
 	nextReportAt time.Time
@@ -79,6 +83,7 @@
 	x.observeView(now)
 	out := x.run(now, x.decider.Lead(now, x.feed.Leads()))
 	out = append(out, x.run(now, x.decider.Tick(now))...)
+	out = append(out, x.verify(now)...)
 	if !now.Before(x.nextGuardAt) {
 		x.nextGuardAt = now.Add(guardInterval)
 		x.observeOwnCounts(now)
@@ -117,7 +122,10 @@
 		return nil
 	}
 	switch request := r.Request().(type) {
+	case verification:
+		return x.receiveVerification(now, request, r)
 	case rollout.AppendDecision:
+		x.appendedAt = now
 		return x.run(now, x.decider.ObserveAppend(now, request, r.Result()))
 	case rollout.WriteStatus:
 		return x.run(now, x.decider.ObserveStatus(now, request, r.Result()))
@@ -146,10 +154,18 @@
 // announce sends a decision of this node to all members.
 func (x *rolloutExchange) announce(now time.Time, d rollout.Decision) []message.Action {
 	x.merge(now, d)
-	x.confirm(now, x.fleet.Self().Key(), d)
+	x.peers[d.Service()] = decidingPeer{key: x.fleet.Self().Key(), heardAt: now}
+	x.confirmOwn(now, d)
 	return x.sendToAll(message.NewRolloutDecision(d, true))
 }
 
+// confirmOwn notes that the node itself decides, unless it is cut off from the others: one of these may have decided since.
+func (x *rolloutExchange) confirmOwn(now time.Time, d rollout.Decision) {
+	if now.Sub(x.heardAt) < rollout.TrustPeriod {
+		x.record.Confirm(now, d.Service(), d.Sequence())
+	}
+}
+
 func (x *rolloutExchange) sendToAll(body message.RolloutDecision) []message.Action {
 	var out []message.Action
 	for _, m := range x.fleet.View().Members() {
@@ -193,6 +209,7 @@
 
 // receiveCounts answers with the decision in force if this node decides.
 func (x *rolloutExchange) receiveCounts(now time.Time, from member.Key, c rollout.Counts) []message.Action {
+	x.heardAt = now
 	out := x.run(now, x.decider.ObserveCounts(now, from, c))
 	if d, ok := x.decider.Decision(now, c.Service()); ok {
 		out = append(out, message.NewSend(from.Peer(), message.NewRolloutDecision(d, true)))
@@ -275,29 +292,39 @@
 		c := x.counts(d, x.guard.Stopped(d.Service()))
 		if x.decider.Leads() {
 			out = append(out, x.run(now, x.decider.ObserveCounts(now, x.fleet.Self().Key(), c))...)
-			x.record.Confirm(now, d.Service(), d.Sequence())
+			x.confirmOwn(now, d)
 			continue
 		}
-		peer, known := x.peers[d.Service()]
 		last, reported := x.reports[d.Service()]
-		if !known || peer.key.Peer() == x.fleet.Self().Key().Peer() || reported && sameCounts(last.counts, c) && peer.heardAt.After(last.sentAt) {
+		answered := x.peers[d.Service()].heardAt.After(last.sentAt)
+		to, known := x.decidingNode(d.Service(), answered)
+		if !known || reported && answered && sameCounts(last.counts, c) {
 			continue
 		}
 		x.reports[d.Service()] = sentReport{counts: c, sentAt: now}
-		out = append(out, sendCounts(peer.key, c)...)
+		out = append(out, sendCounts(to, c)...)
 	}
 	return out
 }
 
+// decidingNode returns the node that decided last, or if it did not answer the last report, the one that leads reading.
+func (x *rolloutExchange) decidingNode(service string, answered bool) (netip.AddrPort, bool) {
+	peer := x.peers[service].key.Peer()
+	if leader, known := x.feed.Leader(); known && !answered {
+		return leader, true
+	}
+	return peer, peer.IsValid() && peer != x.fleet.Self().Key().Peer()
+}
+
 // sendCounts sends counts in as many messages as their routes need.
-func sendCounts(to member.Key, c rollout.Counts) []message.Action {
+func sendCounts(to netip.AddrPort, c rollout.Counts) []message.Action {
 	var out []message.Action
 	for routes := c.Routes(); ; routes = routes[message.MaxCountedRoutes:] {
 		part := rollout.NewCounts(rollout.CountsFields{
 			Service: c.Service(), Order: c.Order(), Sequence: c.Sequence(), Routes: routes[:min(message.MaxCountedRoutes, len(routes))],
 			InFlightBase: c.InFlightBase(), InFlightTarget: c.InFlightTarget(), Guarded: c.Guarded(),
 		})
-		out = append(out, message.NewSend(to.Peer(), message.NewRolloutCounts(part)))
+		out = append(out, message.NewSend(to, message.NewRolloutCounts(part)))
 		if len(routes) <= message.MaxCountedRoutes {
 			return out
 		}
--- a/feed/dissemination.go
+++ b/feed/dissemination.go
@@ -65,6 +65,9 @@
 	if n.Age() >= 0 {
 		m.confirm(n.Version(), m.now.Add(-n.Age()))
 	}
+	if position := n.Round().ReaderHash(); position != 0 {
+		m.lastRoundReader = position
+	}
 	if position := n.Round().ReaderHash(); position != 0 && m.hasPrecedence(position) {
 		m.preferredReaderSeenAt = m.now
 		m.reader.isSubstitute = false
--- a/feed/machine.go
+++ b/feed/machine.go
@@ -48,6 +48,7 @@
 	announcedNodes        int               // nodes that recently wrote their addresses to the store
 	roundNumber           uint64            // of the last round that this node started as a reader
 	latestRounds          map[uint64]uint64 // newest round received from each reader, by its position
+	lastRoundReader       uint64            // position of the reader whose round was received last
 	preferredReaderSeenAt time.Time         // when a round of a reader with precedence was last received
 	pending               pendingRequest
 	answerTokens          float64 // token bucket of the documents sent in answer to requests
--- a/feed/reading.go
+++ b/feed/reading.go
@@ -203,3 +203,13 @@
 	overtaken := m.reader.consecutiveFailures > 0 && m.confirmedAt.After(m.reader.succeededAt)
 	return m.announcesUnchanged() && !overtaken
 }
+
+// Leader returns the other node whose round arrived last, which probably leads reading, and false if none is known.
+func (m *Machine) Leader() (netip.AddrPort, bool) {
+	for _, other := range m.order.others {
+		if other.position == m.lastRoundReader {
+			return other.peer, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- a/proxy/controlloop_test.go
+++ b/proxy/controlloop_test.go
@@ -66,12 +66,12 @@
 			hints = append(hints, other.peer)
 		}
 	}
-	self := member.New(n.key, n.place, record.SchemaNewest).WithServer(member.NewServer(service, member.ServerReady, n.fleet.slots))
+	self := member.New(n.key, n.place, record.SchemaNewest).WithServer(n.announcedServer())
 	loop := &controlLoop{node: n, done: make(chan struct{}), view: quarantine.NewView()}
 	loop.core = control.NewSidecar(control.SidecarSettings{
 		Self: self, Fleet: fleet.SidecarSettings(controlFleetName, hints, 20*time.Second),
 		Feed: feed.Settings{Self: self, Decode: func([]byte) (*routing.Table, error) { return n.fleet.table, nil }},
-		Gone: func(error) bool { return false },
+		Gone: func(error) bool { return false }, Rollouts: n.fleet.store.rolloutSettings(n),
 	}, rand.New(rand.NewPCG(uint64(n.key.Peer().Addr().As4()[3]), uint64(n.key.Incarnation()))))
 	n.mu.Lock()
 	n.control = loop
@@ -116,8 +116,13 @@
 	for _, a := range actions {
 		if send, ok := a.(message.Send); ok {
 			l.send(send)
+		} else if store := l.node.fleet.store; store != nil {
+			store.execute(l, a)
 		}
 	}
+	if l.node.fleet.store != nil {
+		l.node.snapshot.Store(l.core.Snapshot())
+	}
 }
 
 func (l *controlLoop) send(s message.Send) {
--- a/proxy/limitfleet_test.go
+++ b/proxy/limitfleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -107,9 +108,11 @@
 	crash   func()
 
 	mu       sync.Mutex
-	limit    string // as stated in responses, "" for none
-	leaving  bool   // as stated in responses
-	status   int    // of responses; 0 stands for 200
+	limit    string               // as stated in responses, "" for none
+	leaving  bool                 // as stated in responses
+	status   int                  // of responses; 0 stands for 200
+	failing  float64              // share of the responses that fail
+	lastFrom map[string]time.Time // last arrival by calling service
 	arrivals []time.Time
 	classes  map[string]int // requests that reached the server, by path
 }
@@ -119,6 +122,9 @@
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, time.Now())
 	s.classes[r.URL.Path]++
+	s.lastFrom[r.Header.Get("X-Caller-Service")] = time.Now()
+	_, phase := math.Modf(float64(len(s.arrivals)) * 0.618)
+	failed := phase < s.failing
 	s.mu.Unlock()
 	if request := contentOf(r, string(body)); s.crashes != nil && s.crashes.recordArrival(request) {
 		s.crashDuring(r.Context(), request)
@@ -134,7 +140,9 @@
 	}
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Server-Seal", "sealed by "+s.id)
-	if s.status != 0 {
+	if failed {
+		w.WriteHeader(http.StatusInternalServerError)
+	} else if s.status != 0 {
 		w.WriteHeader(s.status)
 	}
 	_, _ = io.WriteString(w, s.id)
@@ -213,6 +221,8 @@
 
 	withControl bool // whether nodes have control loops
 
+	store *rolloutStore // nil unless views and documents come from the control loops
+
 	mu             sync.Mutex
 	statuses       map[string]map[int]int // by path and status
 	lastServed     map[string]time.Time
@@ -226,6 +236,8 @@
 	peer      netip.AddrPort
 	key       member.Key
 	caller    string // service on the VM
+	version   string // of the server
+	versions  *proxy.VersionCounters
 	place     member.Place
 	server    *pipeServer
 	started   int64 // start of the server's process
@@ -256,6 +268,16 @@
 
 // newLimitFleet starts nodes in the failure domains of two regions in turn.
 func newLimitFleet(nodes, slots int, runTime time.Duration) *limitFleet {
+	f := prepareLimitFleet(nodes, slots, runTime)
+	for _, n := range f.nodes {
+		n.start()
+	}
+	f.publish()
+	return f
+}
+
+// prepareLimitFleet returns a fleet whose servers run and whose nodes have not been started.
+func prepareLimitFleet(nodes, slots int, runTime time.Duration) *limitFleet {
 	f := &limitFleet{
 		network: newPipeNetwork(), slots: slots, rnd: rand.New(rand.NewPCG(1, 2)), statuses: make(map[string]map[int]int), byPeer: make(map[netip.AddrPort]*limitNode), scope: tally.NewTestScope("", nil), lastServed: make(map[string]time.Time), longestRefusal: make(map[string]time.Duration),
 		table: routing.NewTable(1, []routing.Route{
@@ -266,16 +288,12 @@
 	for i := range nodes {
 		address := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i + 1)})
 		n := &limitNode{fleet: f, peer: netip.AddrPortFrom(address, 7000), caller: "web", key: member.NewKey(netip.AddrPortFrom(address, 7000), 1), place: places[i%len(places)], started: 1}
-		n.server = &pipeServer{id: fmt.Sprint("s", i), runTime: runTime, classes: make(map[string]int), crash: n.crash}
+		n.server = &pipeServer{id: fmt.Sprint("s", i), runTime: runTime, classes: make(map[string]int), lastFrom: make(map[string]time.Time), crash: n.crash}
 		n.serve()
 		f.byPeer[n.peer] = n
 		f.members = append(f.members, member.New(n.key, n.place, record.SchemaNewest).WithServer(member.NewServer(service, member.ServerReady, slots)))
 		f.nodes = append(f.nodes, n)
 	}
-	for _, n := range f.nodes {
-		n.start()
-	}
-	f.publish()
 	return f
 }
 
@@ -308,7 +326,7 @@
 		Timers:        clock,
 	})
 	ingress := proxy.NewIngress(proxy.IngressSettings{
-		Self: n.key, Place: n.place, Snapshot: n.snapshot.Load, Service: func() string { return n.caller }, Owner: owner, Quarantine: n.quarantine,
+		Self: n.key, Place: n.place, Snapshot: n.snapshot.Load, Service: func() string { return n.caller }, Owner: owner, Quarantine: n.quarantine, Versions: n.versions,
 		Pool:    exchange.PoolSettings{Dial: n.fleet.network.dial, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerPeer: 16, MaxBodyBytes: 1 << 20},
 		Retry:   retry.WindowBudgetSettings{Span: 10 * time.Second, Share: 0.06, Reserve: 18},
 		Balance: balance.Settings{CrossRegionBackoff: 500 * time.Millisecond}, Timers: clock,
@@ -338,11 +356,15 @@
 	n.sequence++
 	n.presence.RecordHeartbeat(time.Now(), presence.Heartbeat{
 		ID: n.server.id, Started: n.started, Sequence: n.sequence, Address: netip.AddrPortFrom(n.peer.Addr(), 8000),
-		Server: member.NewServer(service, member.ServerReady, n.fleet.slots),
+		Server: n.announcedServer(),
 	})
 	n.setBackend()
 }
 
+func (n *limitNode) announcedServer() member.Server {
+	return member.NewServer(service, member.ServerReady, n.fleet.slots).WithVersion(n.version)
+}
+
 func (n *limitNode) onLeaving(b proxy.Backend, _ string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -378,6 +400,9 @@
 	n.mu.Lock()
 	ingress, inner, owner := n.ingress, n.inner, n.owner
 	n.mu.Unlock()
+	if ingress == nil || n.closed {
+		return
+	}
 	ingress.Close()
 	inner.Close()
 	owner.Close()
@@ -395,7 +420,9 @@
 	}
 	n.fleet.publishing.Unlock()
 	n.start()
-	n.fleet.publish()
+	if n.fleet.store == nil {
+		n.fleet.publish()
+	}
 	if n.fleet.withControl {
 		n.startControl()
 	}
@@ -403,6 +430,9 @@
 
 // publishServers passes the states of all servers, as their nodes know them, to all nodes.
 func (f *limitFleet) publishServers() {
+	if f.store != nil {
+		return
+	}
 	f.publishing.Lock()
 	defer f.publishing.Unlock()
 	for i, n := range f.nodes {
