rollout: compare only over equal times, and bound what the raised phase may use

Slices end when the share changes, and the comparison ends with the shifting phase: requests to the base version that are still in flight then are the slow ones.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -53,13 +53,19 @@
 	bad, good := badDistributions(base), goodDistributions(base, starting)
 	for subset := range subsets {
 		h := s.subset(subset)
-		e.target[subset] += h.total()
+		n := h.total()
+		if n == 0 {
+			continue
+		}
+		e.target[subset] += n
+		// What is known of the base version is an estimate too. Without requests to it at the same time nothing is proven.
+		weight := s.base.total() / (s.base.total() + n)
 		best := math.Inf(-1)
 		for _, g := range good {
 			best = max(best, h.logLikelihood(g))
 		}
 		for i, b := range bad {
-			ratio := h.logLikelihood(b) - best
+			ratio := weight * (h.logLikelihood(b) - best)
 			e.alarm[subset][i] = max(0, e.alarm[subset][i]+ratio)
 			e.sum[subset][i] += ratio
 			e.sinceMark[subset][i] += ratio
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -69,7 +69,11 @@
 		r.inFlight = make(map[member.Key]flight)
 	}
 	r.decision, r.steppedAt = d, now
-	r.judge.mark(now)
+	if d.Phase() == PhaseShifting {
+		r.judge.finish(now)
+	} else {
+		r.judge.mark(now)
+	}
 }
 
 // adoptHalt takes over that another node has halted the last decision.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -20,7 +20,7 @@
 	firstRaise         = 250 // thousandths
 	secondRaise        = 500
 	// raiseThreshold is the strength of evidence from which the share may be raised when the time is short.
-	raiseThreshold = 4
+	raiseThreshold = 3
 	// stepThreshold is the strength of evidence since the last step that the next step needs.
 	stepThreshold = 3
 	// drainTime is the time in which requests to the base version end in the shifting phase.
@@ -49,7 +49,7 @@
 	if r.decision.Final() {
 		return Decision{}, false
 	}
-	r.checkHalt(now)
+	r.checkHalt(now, s)
 	if r.halt != "" {
 		return r.end(now, PhaseRolledBack, r.halt), true
 	}
@@ -65,7 +65,7 @@
 }
 
 // checkHalt notes the reason for which nothing may go to the target version any more.
-func (r *run) checkHalt(now time.Time) {
+func (r *run) checkHalt(now time.Time, s situation) {
 	if r.halt != "" {
 		return
 	}
@@ -75,6 +75,8 @@
 		r.halt = reason
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
+	case r.decision.Phase() == PhaseRaised && r.judge.goodness() < goodThreshold && !r.affordable(now, 0, s, 1):
+		r.halt = "no clear verdict within the permitted exposure"
 	}
 }
 
@@ -128,7 +130,7 @@
 	if r.left(now) < r.remaining(s)+3*time.Second {
 		needed = raiseThreshold
 	}
-	if r.judge.goodness() < needed || !r.affordable(now, firstRaise, s) || ready < r.serversFor(firstRaise, s) {
+	if r.judge.goodness() < needed || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
 		return Decision{}, false
 	}
 	return r.step(now, PhaseRaised, firstRaise, r.serversFor(firstRaise, s), "good so far"), true
@@ -163,16 +165,16 @@
 	return r.dwell(s) + drainTime + finishTime
 }
 
-// affordable reports whether a raise of the share keeps a version that turns out bad within the permitted exposure: until
-// the nodes have reported, and the decision to go back has reached them.
-func (r *run) affordable(now time.Time, share int, s situation) bool {
+// affordable reports whether a share keeps a version that turns out bad within a part of the permitted exposure: until the
+// nodes have reported, and the decision to go back has reached them.
+func (r *run) affordable(now time.Time, share int, s situation, part float64) bool {
 	_, target := r.judge.Requests()
 	rate := r.judge.rate(now)
 	delay := ReportInterval(s.fleet).Seconds()
-	unreported := rate * float64(r.decision.Share()) / FullShare * delay
+	unreported := rate * float64(r.decision.Share()) / FullShare * delay / 2
 	expected := float64(target) + unreported + rate*float64(share)/FullShare*(delay+settleTime.Seconds())
 	allowed := r.settings.ExposureShare*rate*r.order.Limit().Seconds() + float64(r.settings.ExposureSlack)
-	return expected <= budgetFraction*allowed
+	return expected <= part*allowed
 }
 
 func (r *run) nextAfterRaised(now time.Time, s situation) (Decision, bool) {
