--- a/rollout/run.go
+++ b/rollout/run.go
@@ -6,6 +6,11 @@
 	"github.com/bambooknot/bambooknot/member"
 )
 
+const (
+	maxReportGap     = 3 * time.Second // a longer one is that of a node without requests
+	reportGapSamples = 32
+)
+
 // run is the roll-out of one service at the node that leads.
 type run struct {
 	settings Settings
@@ -21,6 +26,7 @@
 	status       status // that was acknowledged last
 	nextStatusAt time.Time
 	statusFlying bool
+	reportGap    time.Duration // moving average of the time between two reports of a node
 }
 
 // status identifies what a status record says.
@@ -33,8 +39,9 @@
 
 // flight is what a reporter said last about requests to the base version.
 type flight struct {
-	sequence uint64
-	requests int
+	sequence   uint64
+	requests   int
+	reportedAt time.Time
 }
 
 // situation is what a step depends on besides the run itself.
@@ -85,7 +92,10 @@
 
 func (r *run) observe(now time.Time, reporter member.Key, c Counts) {
 	r.judge.Observe(now, reporter, c)
-	r.inFlight[reporter] = flight{sequence: c.Sequence(), requests: c.InFlightBase()}
+	if last, known := r.inFlight[reporter]; known {
+		r.reportGap += (min(now.Sub(last.reportedAt), maxReportGap) - r.reportGap) / reportGapSamples
+	}
+	r.inFlight[reporter] = flight{sequence: c.Sequence(), requests: c.InFlightBase(), reportedAt: now}
 }
 
 // announced returns the decision as nodes are told of it.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -20,7 +20,7 @@
 	firstRaise         = 250 // thousandths
 	secondRaise        = 500
 	// raiseThreshold is the strength of evidence from which the share may be raised when the time is short.
-	raiseThreshold = 3
+	raiseThreshold = 2
 	// stepThreshold is the strength of evidence since the last step that the next step needs.
 	stepThreshold = 3
 	// drainTime is the time in which requests to the base version end in the shifting phase.
@@ -31,6 +31,10 @@
 	settleTime = 700 * time.Millisecond
 	// budgetFraction is the part of the permitted exposure that the estimate before a raise may use.
 	budgetFraction = 0.85
+	// haltFraction is the part of the permitted exposure at whose use the raised phase ends without a verdict.
+	haltFraction = 0.9
+	// requestTime is the time that requests are assumed to take: those in flight are not in the counts.
+	requestTime = 300 * time.Millisecond
 	// minCapacity is the part of the old servers that the new ones must be at least before they get all requests.
 	minCapacity = 0.9
 )
@@ -75,7 +79,7 @@
 		r.halt = reason
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
-	case r.decision.Phase() == PhaseRaised && r.judge.goodness() < goodThreshold && !r.affordable(now, 0, s, 1):
+	case r.decision.Phase() == PhaseRaised && r.judge.goodness() < goodThreshold && !r.affordable(now, 0, s, haltFraction):
 		r.halt = "no clear verdict within the permitted exposure"
 	}
 }
@@ -157,7 +161,12 @@
 
 // dwell returns the least time of a step of the raised phase: all nodes have reported about it.
 func (r *run) dwell(s situation) time.Duration {
-	return ReportInterval(s.fleet) + settleTime
+	return r.reportDelay(s) + settleTime
+}
+
+// reportDelay returns the time in which nodes report, as measured if they take longer than they should.
+func (r *run) reportDelay(s situation) time.Duration {
+	return max(ReportInterval(s.fleet), r.reportGap)
 }
 
 // remaining returns the least time from a first raise to the end.
@@ -170,8 +179,8 @@
 func (r *run) affordable(now time.Time, share int, s situation, part float64) bool {
 	_, target := r.judge.Requests()
 	rate := r.judge.rate(now)
-	delay := ReportInterval(s.fleet).Seconds()
-	unreported := rate * float64(r.decision.Share()) / FullShare * delay / 2
+	delay := r.reportDelay(s).Seconds()
+	unreported := rate * float64(r.decision.Share()) / FullShare * (delay/2 + requestTime.Seconds())
 	expected := float64(target) + unreported + rate*float64(share)/FullShare*(delay+settleTime.Seconds())
 	allowed := r.settings.ExposureShare*rate*r.order.Limit().Seconds() + float64(r.settings.ExposureSlack)
 	return expected <= part*allowed
