rollout: halt while the result of an append is unknown

A decider whose append got no answer, as the store is away, waited for a read before anything else, so that a bad version was not stopped. It now keeps halting and answering with what it has read, and only appends wait.

--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -42,7 +42,8 @@
 	leads    bool
 	tickedAt time.Time
 
-	synced     bool   // the topic was read up to end since the node leads
+	informed   bool   // the topic was read since the node leads: it may halt, and answers reports
+	synced     bool   // the topic was read up to end after the last append: the node may append
 	end        uint64 // offset at which the topic ends, as far as it was read
 	reading    bool
 	nextReadAt time.Time
@@ -61,7 +62,7 @@
 	if leads == d.leads {
 		return nil
 	}
-	d.leads = leads
+	d.leads, d.informed = leads, false
 	d.desynchronise()
 	d.tickedAt = now
 	for _, r := range d.runs {
@@ -71,7 +72,7 @@
 }
 
 // Leads reports whether the node decides: it reads the operator's document first and knows all decisions.
-func (d *Decider) Leads() bool { return d.leads && d.synced }
+func (d *Decider) Leads() bool { return d.leads && d.informed }
 
 // ObserveOrder takes in an order. An order that is known already, or older than the known one, has no effect.
 func (d *Decider) ObserveOrder(now time.Time, o Order) []Action {
@@ -99,7 +100,7 @@
 	for _, decision := range decisions {
 		d.adopt(now, decision)
 	}
-	d.synced, d.end = true, end
+	d.informed, d.synced, d.end = true, true, end
 	var out []Action
 	for _, service := range d.services() {
 		if r := d.runs[service]; r.started() && (r.steppedAt.Equal(now) || !r.decision.Final()) {
@@ -121,7 +122,7 @@
 	r := d.run(decision.Service())
 	if decision.Sequence() > r.decision.Sequence() {
 		r.adopt(now, decision)
-		d.synced = d.synced && decision.Sequence() <= d.end
+		d.informed = d.informed && decision.Sequence() <= d.end
 	}
 	r.adoptHalt(decision)
 	return nil
@@ -147,7 +148,7 @@
 		return nil
 	}
 	if c.Sequence() > max(d.end, r.decision.Sequence()) {
-		d.synced = false
+		d.informed = false
 	}
 	if c.Order() == r.order.Number() {
 		r.observe(now, reporter, c)
@@ -211,12 +212,16 @@
 		return nil
 	}
 	if hung || d.appending != nil && now.Sub(d.appendedAt) > appendTimeout {
+		d.informed = d.informed && !hung
 		d.desynchronise()
 	}
-	if !d.synced {
-		return d.read(now)
-	}
 	var out []Action
+	if !d.informed || !d.synced {
+		out = d.read(now)
+	}
+	if !d.informed {
+		return out
+	}
 	for _, service := range d.services() {
 		out = append(out, d.step(now, service, d.runs[service])...)
 	}
@@ -254,7 +259,7 @@
 	if halted, ok := r.haltDue(now); ok {
 		out = append(out, Announce{halted})
 	}
-	if due && d.appending == nil {
+	if due && d.synced && d.appending == nil {
 		a := AppendDecision{decision: next.WithSequence(d.end + 1), end: d.end}
 		d.appending, d.appendedAt = &a, now
 		out = append(out, a)
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -56,7 +56,6 @@
 	evidence     map[string]*evidence
 	slices       map[string]*slice
 	sliceEnd     time.Time
-	firstBaseAt  time.Time
 	firstAt      time.Time // of the target version's responses
 	marking      bool      // slices are closed at sliceEnd whatever they hold, and goodnessSinceMark begins
 	finishing    bool      // the slices that end next are the last ones
@@ -107,9 +106,6 @@
 		j.slices[route].add(r.base, r.target)
 		j.slices[route].requests += target
 	}
-	if j.firstBaseAt.IsZero() {
-		j.firstBaseAt = now
-	}
 	if target > 0 && j.firstAt.IsZero() {
 		j.firstAt = now
 	}
@@ -216,12 +212,3 @@
 
 // Requests returns the numbers of requests counted at the base and the target version.
 func (j *Judge) Requests() (base, target uint64) { return j.base[totalRoute], j.target[totalRoute] }
-
-// rate returns the requests of the service per second.
-func (j *Judge) rate(now time.Time) float64 {
-	base, target := j.Requests()
-	if elapsed := now.Sub(j.firstBaseAt).Seconds(); elapsed > 0 {
-		return float64(base+target) / max(elapsed, 1)
-	}
-	return 0
-}
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -174,12 +174,18 @@
 	return r.dwell(s) + drainTime + finishTime
 }
 
+// rate returns the requests of the service per second. Counts are totals since the order, also for a node that takes over.
+func (r *run) rate(now time.Time, reportDelay float64) float64 {
+	base, target := r.judge.Requests()
+	return float64(base+target) / max(r.age(now).Seconds()-reportDelay/2, 1)
+}
+
 // affordable reports whether a share keeps a version that turns out bad within a part of the permitted exposure: until the
 // nodes have reported, and the decision to go back has reached them.
 func (r *run) affordable(now time.Time, share int, s situation, part float64) bool {
 	_, target := r.judge.Requests()
-	rate := r.judge.rate(now)
 	delay := r.reportDelay(s).Seconds()
+	rate := r.rate(now, delay)
 	unreported := rate * float64(r.decision.Share()) / FullShare * (delay/2 + requestTime.Seconds())
 	expected := float64(target) + unreported + rate*float64(share)/FullShare*(delay+settleTime.Seconds())
 	allowed := r.settings.ExposureShare*rate*r.order.Limit().Seconds() + float64(r.settings.ExposureSlack)
