--- a/rollout/base.go
+++ b/rollout/base.go
@@ -20,6 +20,7 @@
 	sequence    uint64 // of the decision that the version was taken from
 	firstSeenAt time.Time
 	lastSeenAt  time.Time // last time that a server of the version was known
+	absent      bool      // no server of the version is known
 }
 
 // update returns the base version given the members of the service and the decision, which is zero if there is none.
@@ -30,13 +31,13 @@
 	if d.Sequence() > b.sequence {
 		b.version, b.sequence, b.lastSeenAt = d.nextBase(), d.Sequence(), now
 	}
-	if countVersion(members, b.version) > 0 {
+	if b.absent = countVersion(members, b.version) == 0; !b.absent {
 		b.lastSeenAt = now
 	}
 	settling := b.sequence == 0 && now.Sub(b.firstSeenAt) < baseSettlePeriod
 	if b.version == "" || settling || now.Sub(b.lastSeenAt) >= baseAbsencePeriod {
 		if most := commonVersion(members, b.version); most != "" {
-			b.version, b.lastSeenAt = most, now
+			b.version, b.lastSeenAt, b.absent = most, now, false
 		}
 	}
 	return b
@@ -44,7 +45,7 @@
 
 // expected reports whether the version may change although members and decision stay.
 func (b baseVersion) expected(now time.Time) bool {
-	return now.Sub(b.lastSeenAt) > 0 || b.sequence == 0 && now.Sub(b.firstSeenAt) < baseSettlePeriod
+	return b.absent || b.sequence == 0 && now.Sub(b.firstSeenAt) < baseSettlePeriod
 }
 
 func countVersion(members []member.Member, version string) int {
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -139,7 +139,8 @@
 // Guarded reports whether the reporter's guard has stopped the target version.
 func (c Counts) Guarded() bool { return c.fields.Guarded }
 
-// ReportInterval returns the time between two reports of counts of a node, in a fleet with that many members.
+// ReportInterval returns the time between two reports of counts of a node, in a fleet with that many members. A node also
+// reports at once when it takes over a decision: a report that covers two shares would compare different times.
 func ReportInterval(members int) time.Duration {
 	return max(250*time.Millisecond, 3*time.Millisecond*time.Duration(members))
 }
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -13,8 +13,8 @@
 	readRetryInterval = 500 * time.Millisecond
 	// statusRetryInterval is the time from a failed write of a status record to the next one.
 	statusRetryInterval = 500 * time.Millisecond
-	// appendTimeout is the time after which an append without a result counts as unknown.
-	appendTimeout = 5 * time.Second
+	// resultTimeout is the time after which a read counts as failed, and the result of an append as unknown.
+	resultTimeout = 5 * time.Second
 	// announceInterval is the time between two announcements of a halted decision, which nodes may have missed.
 	announceInterval = 500 * time.Millisecond
 	// maxTickGap is the time between two ticks from which the process must have hung: another node may have decided
@@ -46,6 +46,7 @@
 	synced     bool   // the topic was read up to end after the last append: the node may append
 	end        uint64 // offset at which the topic ends, as far as it was read
 	reading    bool
+	readAt     time.Time
 	nextReadAt time.Time
 	appending  *AppendDecision // without result yet
 	appendedAt time.Time
@@ -166,7 +167,7 @@
 		d.desynchronise()
 		return d.Tick(now)
 	}
-	d.end = a.end + 1
+	d.end = max(d.end, a.end+1)
 	d.adopt(now, a.decision)
 	announced := d.runs[a.decision.Service()].announced(now)
 	return append([]Action{Announce{announced}}, d.Tick(now)...)
@@ -211,7 +212,7 @@
 	if !d.leads || d.view == nil || !d.Active() {
 		return nil
 	}
-	if hung || d.appending != nil && now.Sub(d.appendedAt) > appendTimeout {
+	if hung || d.appending != nil && now.Sub(d.appendedAt) > resultTimeout {
 		d.informed = d.informed && !hung
 		d.desynchronise()
 	}
@@ -229,10 +230,10 @@
 }
 
 func (d *Decider) read(now time.Time) []Action {
-	if d.reading || now.Before(d.nextReadAt) {
+	if now.Before(d.nextReadAt) || d.reading && now.Sub(d.readAt) < resultTimeout {
 		return nil
 	}
-	d.reading, d.nextReadAt = true, now.Add(readRetryInterval)
+	d.reading, d.readAt, d.nextReadAt = true, now, now.Add(readRetryInterval)
 	return []Action{ReadDecisions{from: d.end}}
 }
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -9,15 +10,22 @@
 const subsets = Cohorts + 1
 
 // evidence compares the target version with the base version on one route, or in total. For each way to be bad it sums the
-// logarithms of the likelihood ratio between that and the best explanation by a good version.
+// logarithms of the likelihood ratio between that and a good version.
 type evidence struct {
 	base      histogram // before the current slice
 	target    [subsets]float64
-	alarm     [subsets][hypothesisCount]float64 // the sum since it was last below 0, for changes for the worse
-	sum       [subsets][hypothesisCount]float64 // since the order
-	sinceMark [subsets][hypothesisCount]float64 // since the last mark
+	alarm     [subsets]ratios // against the best explanation of each slice, since the sum was last below 0
+	sum       [subsets]explanations
+	sinceMark [subsets]explanations
 }
 
+// ratios are sums of logarithms of likelihood ratios by way to be bad.
+type ratios [hypothesisCount]float64
+
+// explanations are ratios by each way to be good that lasts: a good version is explained by the same one all the time. The
+// best explanation of each slice would suit a bad version too if slices are small.
+type explanations [lastingExplanations]ratios
+
 // slice holds the responses of one route in a span of time.
 type slice struct {
 	begunAt  time.Time
@@ -60,15 +68,21 @@
 		e.target[subset] += n
 		// What is known of the base version is an estimate too. Without requests to it at the same time nothing is proven.
 		weight := s.base.total() / (s.base.total() + n)
-		best := math.Inf(-1)
-		for _, g := range good {
-			best = max(best, h.logLikelihood(g))
+		likelihoods := make([]float64, len(good))
+		for i, g := range good {
+			likelihoods[i] = h.logLikelihood(g)
 		}
+		best, lasting := slices.Max(likelihoods), slices.Max(likelihoods[:lastingExplanations])
 		for i, b := range bad {
-			ratio := weight * (h.logLikelihood(b) - best)
-			e.alarm[subset][i] = max(0, e.alarm[subset][i]+ratio)
-			e.sum[subset][i] += ratio
-			e.sinceMark[subset][i] += ratio
+			likelihood := h.logLikelihood(b)
+			e.alarm[subset][i] = max(0, e.alarm[subset][i]+weight*(likelihood-best))
+			for j, g := range likelihoods[:lastingExplanations] {
+				if starting {
+					g = lasting // servers become warm one after the other
+				}
+				e.sum[subset][j][i] += weight * (likelihood - g)
+				e.sinceMark[subset][j][i] += weight * (likelihood - g)
+			}
 		}
 	}
 	const memory = 0.9 // keeps the time before at the last ten slices
@@ -102,20 +116,27 @@
 
 // goodness returns the strength of the evidence that the target version is good, as the logarithm of a likelihood ratio: of
 // the whole, or without the one cohort that speaks most against it. It is 0 while there is reason for suspicion.
-func (e *evidence) goodness(sums *[subsets][hypothesisCount]float64) float64 {
+func (e *evidence) goodness(sums *[subsets]explanations) float64 {
 	best := 0.0
 	for subset := range subsets {
-		weakest := math.Inf(1)
-		for i, sum := range sums[subset] {
-			if e.alarm[subset][i] > suspicion {
-				sum = 0
-			}
-			weakest = min(weakest, -sum)
+		for _, explanation := range sums[subset] {
+			best = max(best, explanation.weakest(&e.alarm[subset]))
 		}
-		best = max(best, weakest)
 	}
 	return best
 }
 
+// weakest returns the strength of the evidence against the most likely way to be bad.
+func (r *ratios) weakest(alarm *ratios) float64 {
+	weakest := math.Inf(1)
+	for i, sum := range r {
+		if alarm[i] > suspicion {
+			return 0
+		}
+		weakest = min(weakest, -sum)
+	}
+	return weakest
+}
+
 // suspicion is the strength of evidence against a version from which on it does not count as good.
-const suspicion = 3
+const suspicion = 4
--- a/rollout/hypothesis.go
+++ b/rollout/hypothesis.go
@@ -11,6 +11,9 @@
 	// failingHypotheses is the number of these, the first ones, that are about failures.
 	failingHypotheses = 4
 
+	// lastingExplanations is the number of ways to be good, the first ones, that may last.
+	lastingExplanations = 3
+
 	// outlierShare is the share of durations of which nothing is assumed, so that single odd ones prove nothing.
 	outlierShare = 0.03
 	// minFailureRate is the failure rate that is assumed of a good version at least.
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -14,9 +14,15 @@
 	at      time.Time
 }
 
+// DefaultLimit is the time in which a roll-out has to end if its order states none.
+const DefaultLimit = time.Minute
+
 // NewOrder returns an order. limit is the time in which the roll-out has to end, number the order's offset in the store +
 // 1, and at the time of the order by the local clock, or when it was first seen.
 func NewOrder(service, target string, limit time.Duration, number uint64, at time.Time) Order {
+	if limit <= 0 {
+		limit = DefaultLimit
+	}
 	return Order{service: service, target: target, limit: limit, number: number, at: at}
 }
 
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -29,10 +29,12 @@
 	finishTime = 1200 * time.Millisecond
 	// settleTime is the time for a decision to reach all nodes and for requests to end at the new servers.
 	settleTime = 700 * time.Millisecond
+	// arrivalTime is the time for a decision to reach the nodes, and for their reports to reach the decider.
+	arrivalTime = 200 * time.Millisecond
 	// budgetFraction is the part of the permitted exposure that the estimate before a raise may use.
 	budgetFraction = 0.85
 	// haltFraction is the part of the permitted exposure at whose use the raised phase ends without a verdict.
-	haltFraction = 0.9
+	haltFraction = 0.94
 	// requestTime is the time that requests are assumed to take: those in flight are not in the counts.
 	requestTime = 300 * time.Millisecond
 	// minCapacity is the part of the old servers that the new ones must be at least before they get all requests.
@@ -63,7 +65,7 @@
 	case PhaseRaised:
 		return r.nextAfterRaised(now, s)
 	case PhaseShifting:
-		return r.nextAfterShifting(now, s)
+		return r.nextAfterShifting(now)
 	}
 	return Decision{}, false
 }
@@ -161,7 +163,7 @@
 
 // dwell returns the least time of a step of the raised phase: all nodes have reported about it.
 func (r *run) dwell(s situation) time.Duration {
-	return r.reportDelay(s) + settleTime
+	return r.reportDelay(s) + arrivalTime
 }
 
 // reportDelay returns the time in which nodes report, as measured if they take longer than they should.
@@ -208,9 +210,9 @@
 
 // nextAfterShifting completes the roll-out when no request to the base version is known to be in flight. Nodes that do not
 // report are waited for up to drainTime, and requests that nodes still report until the deadline is near.
-func (r *run) nextAfterShifting(now time.Time, s situation) (Decision, bool) {
+func (r *run) nextAfterShifting(now time.Time) (Decision, bool) {
 	waited := now.Sub(r.steppedAt)
-	if waited < r.dwell(s) && waited < drainTime {
+	if waited < settleTime {
 		return Decision{}, false
 	}
 	silent, inFlight := r.drainage()
