--- a/rollout/step.go
+++ b/rollout/step.go
@@ -20,7 +20,7 @@
 	firstRaise         = 250 // thousandths
 	secondRaise        = 500
 	// raiseThreshold is the strength of evidence from which the share may be raised when the time is short.
-	raiseThreshold = 4
+	raiseThreshold = 2
 	// stepThreshold is the strength of evidence since the last step that the next step needs.
 	stepThreshold = 3
 	// drainTime is the time in which requests to the base version end in the shifting phase.
@@ -29,8 +29,14 @@
 	finishTime = 1200 * time.Millisecond
 	// settleTime is the time for a decision to reach all nodes and for requests to end at the new servers.
 	settleTime = 700 * time.Millisecond
+	// arrivalTime is the time for a decision to reach the nodes, and for their reports to reach the decider.
+	arrivalTime = 200 * time.Millisecond
 	// budgetFraction is the part of the permitted exposure that the estimate before a raise may use.
 	budgetFraction = 0.85
+	// haltFraction is the part of the permitted exposure at whose use the raised phase ends without a verdict.
+	haltFraction = 0.94
+	// requestTime is the time that requests are assumed to take: those in flight are not in the counts.
+	requestTime = 300 * time.Millisecond
 	// minCapacity is the part of the old servers that the new ones must be at least before they get all requests.
 	minCapacity = 0.9
 )
@@ -49,7 +55,7 @@
 	if r.decision.Final() {
 		return Decision{}, false
 	}
-	r.checkHalt(now)
+	r.checkHalt(now, s)
 	if r.halt != "" {
 		return r.end(now, PhaseRolledBack, r.halt), true
 	}
@@ -59,13 +65,13 @@
 	case PhaseRaised:
 		return r.nextAfterRaised(now, s)
 	case PhaseShifting:
-		return r.nextAfterShifting(now, s)
+		return r.nextAfterShifting(now)
 	}
 	return Decision{}, false
 }
 
 // checkHalt notes the reason for which nothing may go to the target version any more.
-func (r *run) checkHalt(now time.Time) {
+func (r *run) checkHalt(now time.Time, s situation) {
 	if r.halt != "" {
 		return
 	}
@@ -75,6 +81,8 @@
 		r.halt = reason
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
+	case r.decision.Phase() == PhaseRaised && r.judge.goodness() < goodThreshold && !r.affordable(now, 0, s, haltFraction):
+		r.halt = "no clear verdict within the permitted exposure"
 	}
 }
 
@@ -128,7 +136,7 @@
 	if r.left(now) < r.remaining(s)+3*time.Second {
 		needed = raiseThreshold
 	}
-	if r.judge.goodness() < needed || !r.affordable(now, firstRaise, s) || ready < r.serversFor(firstRaise, s) {
+	if r.judge.goodness() < needed || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
 		return Decision{}, false
 	}
 	return r.step(now, PhaseRaised, firstRaise, r.serversFor(firstRaise, s), "good so far"), true
@@ -155,7 +163,12 @@
 
 // dwell returns the least time of a step of the raised phase: all nodes have reported about it.
 func (r *run) dwell(s situation) time.Duration {
-	return ReportInterval(s.fleet) + settleTime
+	return r.reportDelay(s) + arrivalTime
+}
+
+// reportDelay returns the time in which nodes report, as measured if they take longer than they should.
+func (r *run) reportDelay(s situation) time.Duration {
+	return max(ReportInterval(s.fleet), r.reportGap)
 }
 
 // remaining returns the least time from a first raise to the end.
@@ -163,16 +176,22 @@
 	return r.dwell(s) + drainTime + finishTime
 }
 
-// affordable reports whether a raise of the share keeps a version that turns out bad within the permitted exposure: until
-// the nodes have reported, and the decision to go back has reached them.
-func (r *run) affordable(now time.Time, share int, s situation) bool {
+// rate returns the requests of the service per second. Counts are totals since the order, also for a node that takes over.
+func (r *run) rate(now time.Time, reportDelay float64) float64 {
+	base, target := r.judge.Requests()
+	return float64(base+target) / max(r.age(now).Seconds()-reportDelay/2, 1)
+}
+
+// affordable reports whether a share keeps a version that turns out bad within a part of the permitted exposure: until the
+// nodes have reported, and the decision to go back has reached them.
+func (r *run) affordable(now time.Time, share int, s situation, part float64) bool {
 	_, target := r.judge.Requests()
-	rate := r.judge.rate(now)
-	delay := ReportInterval(s.fleet).Seconds()
-	unreported := rate * float64(r.decision.Share()) / FullShare * delay
+	delay := r.reportDelay(s).Seconds()
+	rate := r.rate(now, delay)
+	unreported := rate * float64(r.decision.Share()) / FullShare * (delay/2 + requestTime.Seconds())
 	expected := float64(target) + unreported + rate*float64(share)/FullShare*(delay+settleTime.Seconds())
 	allowed := r.settings.ExposureShare*rate*r.order.Limit().Seconds() + float64(r.settings.ExposureSlack)
-	return expected <= budgetFraction*allowed
+	return expected <= part*allowed
 }
 
 func (r *run) nextAfterRaised(now time.Time, s situation) (Decision, bool) {
@@ -191,9 +210,9 @@
 
 // nextAfterShifting completes the roll-out when no request to the base version is known to be in flight. Nodes that do not
 // report are waited for up to drainTime, and requests that nodes still report until the deadline is near.
-func (r *run) nextAfterShifting(now time.Time, s situation) (Decision, bool) {
+func (r *run) nextAfterShifting(now time.Time) (Decision, bool) {
 	waited := now.Sub(r.steppedAt)
-	if waited < r.dwell(s) && waited < drainTime {
+	if waited < settleTime {
 		return Decision{}, false
 	}
 	silent, inFlight := r.drainage()
