--- a/node/sidecar_test.go
+++ b/node/sidecar_test.go
@@ -73,7 +73,12 @@
 
 // publish appends a document to a stand-in store as the operator does.
 func publish(c *qt.C, store *httptest.Server, document string) {
-	value := append([]byte("\x06config"), document...)
+	publishRecord(c, store, "config", document)
+}
+
+// publishRecord appends a record to the topic of the operator's document.
+func publishRecord(c *qt.C, store *httptest.Server, key, text string) {
+	value := append(append([]byte{byte(len(key))}, key...), text...)
 	body := append(binary.BigEndian.AppendUint32(nil, uint32(len(value))), value...)
 	resp, err := http.Post(store.URL+"/v1/log-append?topic=keyed.op&part=0", "application/octet-stream", bytes.NewReader(body))
 	c.Assert(err, qt.IsNil)
@@ -91,13 +96,18 @@
 // startTestSidecar starts a node that has routes. The address depends on the process ID and the given byte, so that no other
 // test binds its ports.
 func startTestSidecar(c *qt.C, network byte) *testSidecar {
+	return startTestSidecarWith(c, network, "")
+}
+
+// startTestSidecarWith is like startTestSidecar, with further settings.
+func startTestSidecarWith(c *qt.C, network byte, further string) *testSidecar {
 	clock := timer.New()
 	log := standin.NewLog(standin.DefaultLogSettings(), clock)
 	c.Cleanup(log.Close)
 	s := &testSidecar{store: httptest.NewServer(log), host: fmt.Sprintf("127.%d.%d.%d", network, os.Getpid()>>8&0xff, max(1, os.Getpid()&0xff))}
 	c.Cleanup(s.store.Close)
 	publish(c, s.store, validDocument)
-	settings, err := setting.ParseSidecar("test", fmt.Appendf(nil, sidecarSettings, s.host, s.store.Listener.Addr().String()))
+	settings, err := setting.ParseSidecar("test", fmt.Appendf(nil, sidecarSettings+further, s.host, s.store.Listener.Addr().String()))
 	c.Assert(err, qt.IsNil)
 	sink := node.NewLogSink(&s.out, clock)
 	c.Cleanup(sink.Close)
