balance: eject servers by the pool that calls are chosen from

Of three servers that a filter allows all were ejected after failures, as the unfiltered pool of eight per distance permits more, and the last resort then sent 294 of 300 calls to one of them: the counts of a bad version would have come from one server. The cap is now that of the smallest pool in use that has the server; without filters nothing changes.

--- a/balance/filter.go
+++ b/balance/filter.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooknot/bambooknot/member"
@@ -54,3 +55,27 @@
 // maxFilteredPools bounds the pools of one view. A view may outlive several steps of a roll-out, and each has filters of
 // its own.
 const maxFilteredPools = 256
+
+// ejectionPool returns the servers that are counted when a server is to be ejected: the smallest pool in use that has it. Of
+// the few servers that a filter allows, most would be ejected otherwise, as a large pool permits several at a time.
+func (m *Machine) ejectionPool(now time.Time, t *target) *pool {
+	var smallest *pool
+	for _, p := range m.generations[0].filtered {
+		if (smallest == nil || p.size < smallest.size) && p.contains(t) {
+			smallest = p
+		}
+	}
+	if smallest != nil {
+		return smallest
+	}
+	return m.pool(now, m.generations[0].view, t.member.Server().Service())
+}
+
+func (p *pool) contains(t *target) bool {
+	for _, tier := range p.tiers {
+		if slices.Contains(tier, t) {
+			return true
+		}
+	}
+	return false
+}
--- a/balance/report.go
+++ b/balance/report.go
@@ -104,7 +104,7 @@
 	if t.consecutiveFailures < m.settings.EjectionFailures || now.Before(t.ejectedUntil) {
 		return false
 	}
-	p := m.pool(now, m.generations[0].view, t.member.Server().Service())
+	p := m.ejectionPool(now, t)
 	if !m.ejectionAllowed(p, now) {
 		return false
 	}
