--- a/rollout/step.go
+++ b/rollout/step.go
@@ -29,12 +29,12 @@
 	finishTime = 1200 * time.Millisecond
 	// settleTime is the time for a decision to reach all nodes and for requests to end at the new servers.
 	settleTime = 700 * time.Millisecond
-	// arrivalTime is the time for a decision to reach the nodes, and for their reports to reach the decider.
-	arrivalTime = 200 * time.Millisecond
+	// loadTime is the time in which the load of a server, and slow responses, show after a raise. Fast responses come first.
+	loadTime = time.Second
 	// budgetFraction is the part of the permitted exposure that the estimate before a raise may use.
 	budgetFraction = 0.85
 	// haltFraction is the part of the permitted exposure at whose use the raised phase ends without a verdict.
-	haltFraction = 0.94
+	haltFraction = 0.9
 	// requestTime is the time that requests are assumed to take: those in flight are not in the counts.
 	requestTime = 300 * time.Millisecond
 	// minCapacity is the part of the old servers that the new ones must be at least before they get all requests.
@@ -163,7 +163,7 @@
 
 // dwell returns the least time of a step of the raised phase: all nodes have reported about it.
 func (r *run) dwell(s situation) time.Duration {
-	return r.reportDelay(s) + arrivalTime
+	return r.reportDelay(s) + loadTime
 }
 
 // reportDelay returns the time in which nodes report, as measured if they take longer than they should.
