rollout: leave out the same cohort on all routes

When time is short, the first raise waits for the total only: rare routes are judged sooner at a larger share.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -114,20 +114,29 @@
 	return true
 }
 
-// goodness returns the strength of the evidence that the target version is good, as the logarithm of a likelihood ratio: of
-// the whole, or without the one cohort that speaks most against it. It is 0 while there is reason for suspicion.
-func (e *evidence) goodness(sums *[subsets]explanations) float64 {
+// goodness returns the strength of the evidence in a subset that the target version is good, as the logarithm of a
+// likelihood ratio. It is 0 while the evidence against the version since it was last good is above suspicion.
+func (e *evidence) goodness(sums *[subsets]explanations, subset int, suspicion float64) float64 {
 	best := 0.0
+	for _, explanation := range sums[subset] {
+		best = max(best, explanation.weakest(&e.alarm[subset], suspicion))
+	}
+	return best
+}
+
+// bestSubset returns the subset that speaks most for the target version: all cohorts, or all but that of a faulty server.
+func (e *evidence) bestSubset() int {
+	best := 0
 	for subset := range subsets {
-		for _, explanation := range sums[subset] {
-			best = max(best, explanation.weakest(&e.alarm[subset]))
+		if e.goodness(&e.sum, subset, badThreshold) > e.goodness(&e.sum, best, badThreshold) {
+			best = subset
 		}
 	}
 	return best
 }
 
 // weakest returns the strength of the evidence against the most likely way to be bad.
-func (r *ratios) weakest(alarm *ratios) float64 {
+func (r *ratios) weakest(alarm *ratios, suspicion float64) float64 {
 	weakest := math.Inf(1)
 	for i, sum := range r {
 		if alarm[i] > suspicion {
@@ -137,6 +146,3 @@
 	}
 	return weakest
 }
-
-// suspicion is the strength of evidence against a version from which on it does not count as good.
-const suspicion = 4
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -23,9 +23,13 @@
 	// badThreshold is the strength of evidence, the logarithm of a likelihood ratio, from which a version counts as bad.
 	badThreshold = 10
 	// goodThreshold is the same for good.
-	goodThreshold = 8
+	goodThreshold = 9
 	// guardThreshold is the same for a node's own guard, of which there are many.
 	guardThreshold = 16
+	// stepSuspicion is the strength of evidence against a version from which on it does not get more requests.
+	stepSuspicion = 4
+	// haltSuspicion is the same for a version that was good and has used up the permitted exposure.
+	haltSuspicion = 7
 	// minRouteShare is the share of a service's requests from which a route is judged good by itself. Rarer routes get too
 	// few requests for that within the exposure that is permitted, and count in the total and against a version only.
 	minRouteShare = 0.02
@@ -151,19 +155,37 @@
 }
 
 // goodness returns the least strength of evidence for a good version over all routes with traffic.
-func (j *Judge) goodness() float64 {
-	return j.leastGoodness(func(e *evidence) float64 { return e.goodness(&e.sum) })
+func (j *Judge) goodness(suspicion float64) float64 {
+	return j.leastGoodness(func(e *evidence, subset int) float64 { return e.goodness(&e.sum, subset, suspicion) })
+}
+
+// totalGoodness returns the strength of evidence for a good version over all routes together.
+func (j *Judge) totalGoodness(suspicion float64) float64 {
+	total := j.evidence[totalRoute]
+	if total == nil {
+		return 0
+	}
+	return total.goodness(&total.sum, total.bestSubset(), suspicion)
+}
+
+// suspicious reports whether there is evidence against the version on any route.
+func (j *Judge) suspicious() bool {
+	_, bad := j.badRoute(hypothesisCount, stepSuspicion)
+	return bad
 }
 
 func (j *Judge) goodnessSinceMark() float64 {
-	return j.leastGoodness(func(e *evidence) float64 { return e.goodness(&e.sinceMark) })
+	return j.leastGoodness(func(e *evidence, subset int) float64 { return e.goodness(&e.sinceMark, subset, stepSuspicion) })
 }
 
-func (j *Judge) leastGoodness(of func(*evidence) float64) float64 {
-	if j.evidence[totalRoute] == nil {
+// leastGoodness leaves out the same cohort on all routes: the one that suits best on each would suit bad versions too.
+func (j *Judge) leastGoodness(of func(e *evidence, subset int) float64) float64 {
+	total := j.evidence[totalRoute]
+	if total == nil {
 		return 0
 	}
-	least := of(j.evidence[totalRoute])
+	subset := total.bestSubset()
+	least := of(total, subset)
 	for route, n := range j.base {
 		if float64(n) < minRouteShare*float64(j.base[totalRoute]) {
 			continue
@@ -172,7 +194,7 @@
 		if e == nil {
 			return 0
 		}
-		least = min(least, of(e))
+		least = min(least, of(e, subset))
 	}
 	return least
 }
@@ -197,7 +219,7 @@
 	if route, bad := j.badRoute(hypothesisCount, badThreshold); bad {
 		return VerdictBad, j.describe(route)
 	}
-	if j.goodness() >= goodThreshold {
+	if j.goodness(stepSuspicion) >= goodThreshold {
 		return VerdictGood, ""
 	}
 	return VerdictUndecided, ""
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -19,8 +19,9 @@
 	minServersPatience = 0.25
 	firstRaise         = 250 // thousandths
 	secondRaise        = 500
-	// raiseThreshold is the strength of evidence from which the share may be raised when the time is short.
-	raiseThreshold = 2
+	// hurryTime is the time before the last moment for a raise from which rare routes need not be judged before it: at a
+	// larger share they are judged sooner, and the permitted exposure bounds that.
+	hurryTime = 3 * time.Second
 	// stepThreshold is the strength of evidence since the last step that the next step needs.
 	stepThreshold = 3
 	// drainTime is the time in which requests to the base version end in the shifting phase.
@@ -81,7 +82,7 @@
 		r.halt = reason
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
-	case r.decision.Phase() == PhaseRaised && r.judge.goodness() < goodThreshold && !r.affordable(now, 0, s, haltFraction):
+	case r.decision.Phase() == PhaseRaised && r.judge.goodness(haltSuspicion) < goodThreshold && !r.affordable(now, 0, s, haltFraction):
 		r.halt = "no clear verdict within the permitted exposure"
 	}
 }
@@ -132,11 +133,11 @@
 	if r.age(now) < r.fraction(canaryTime) || now.Sub(r.steppedAt) < min(canaryDuration, r.fraction(canaryTime)) {
 		return Decision{}, false
 	}
-	needed := float64(goodThreshold)
-	if r.left(now) < r.remaining(s)+3*time.Second {
-		needed = raiseThreshold
+	good := r.judge.goodness(stepSuspicion) >= goodThreshold
+	if r.left(now) < r.remaining(s)+hurryTime {
+		good = r.judge.totalGoodness(stepSuspicion) >= goodThreshold && !r.judge.suspicious()
 	}
-	if r.judge.goodness() < needed || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
+	if !good || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
 		return Decision{}, false
 	}
 	return r.step(now, PhaseRaised, firstRaise, r.serversFor(firstRaise, s), "good so far"), true
@@ -195,7 +196,7 @@
 }
 
 func (r *run) nextAfterRaised(now time.Time, s situation) (Decision, bool) {
-	if now.Sub(r.steppedAt) < r.dwell(s) || r.judge.goodness() < goodThreshold || r.judge.goodnessSinceMark() < stepThreshold {
+	if now.Sub(r.steppedAt) < r.dwell(s) || r.judge.goodness(stepSuspicion) < goodThreshold || r.judge.goodnessSinceMark() < stepThreshold {
 		return Decision{}, false
 	}
 	ready := countUsable(s.members, r.decision.Target())
