--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -23,7 +23,9 @@
 	// badThreshold is the strength of evidence, the logarithm of a likelihood ratio, from which a version counts as bad.
 	badThreshold = 10
 	// goodThreshold is the same for good.
-	goodThreshold = 9
+	goodThreshold = 16
+	// pressedThreshold is the same once time or permitted exposure run out.
+	pressedThreshold = 7
 	// guardThreshold is the same for a node's own guard, of which there are many.
 	guardThreshold = 16
 	// stepSuspicion is the strength of evidence against a version from which on it does not get more requests.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -34,6 +34,10 @@
 	loadTime = time.Second
 	// budgetFraction is the part of the permitted exposure that the estimate before a raise may use.
 	budgetFraction = 0.85
+	// pressedFraction is the part of the permitted exposure from whose use on the raised phase ends with less evidence.
+	pressedFraction = 0.8
+	// pressedTime is the time before the last moment for the shifting phase from which the same holds.
+	pressedTime = 1500 * time.Millisecond
 	// haltFraction is the part of the permitted exposure at whose use the raised phase ends without a verdict.
 	haltFraction = 0.9
 	// requestTime is the time that requests are assumed to take: those in flight are not in the counts.
@@ -82,7 +86,7 @@
 		r.halt = reason
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
-	case r.decision.Phase() == PhaseRaised && r.judge.goodness(haltSuspicion) < goodThreshold && !r.affordable(now, 0, s, haltFraction):
+	case r.decision.Phase() == PhaseRaised && r.judge.goodness(haltSuspicion) < pressedThreshold && !r.affordable(now, 0, s, haltFraction):
 		r.halt = "no clear verdict within the permitted exposure"
 	}
 }
@@ -195,8 +199,18 @@
 	return expected <= part*allowed
 }
 
+// needed returns the strength of evidence that ends the raised phase. While there is time and permitted exposure left, a
+// longer look costs nothing: the error of stopping as soon as a weak bound is reached is much greater than that of the same
+// bound at a fixed time.
+func (r *run) needed(now time.Time, s situation) float64 {
+	if r.left(now) < drainTime+finishTime+pressedTime || !r.affordable(now, 0, s, pressedFraction) {
+		return pressedThreshold
+	}
+	return goodThreshold
+}
+
 func (r *run) nextAfterRaised(now time.Time, s situation) (Decision, bool) {
-	if now.Sub(r.steppedAt) < r.dwell(s) || r.judge.goodness(stepSuspicion) < goodThreshold || r.judge.goodnessSinceMark() < stepThreshold {
+	if now.Sub(r.steppedAt) < r.dwell(s) || r.judge.goodnessSinceMark() < stepThreshold || r.judge.goodness(stepSuspicion) < r.needed(now, s) {
 		return Decision{}, false
 	}
 	ready := countUsable(s.members, r.decision.Target())
