control: make plans again at most twice a second without a known change

At 580 members of 16 services an update of the plans took 76 to 91 us and ran every tick; it now runs every 500 ms, after changes of members or decisions, and when the guard stops a version.

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -15,6 +15,9 @@
 const (
 	// rolloutSyncInterval is the least time between two repairs of a difference between records of decisions.
 	rolloutSyncInterval = 200 * time.Millisecond
+	// planInterval is the time after which the plans are made again without a change that is known: base versions that have no
+	// servers any more are replaced.
+	planInterval = 500 * time.Millisecond
 	// guardInterval is the time between two looks of the node's own guard at its counts.
 	guardInterval = 250 * time.Millisecond
 	// operatorHalt is the reason of a halt that an operator asks for.
@@ -47,6 +50,7 @@
 	appendedAt   time.Time    // when an append ended last
 	nextVerifyAt time.Time
 	nextSyncAt   time.Time
+	nextPlanAt   time.Time
 	nextGuardAt  time.Time
 	nextReportAt time.Time
 }
@@ -79,7 +83,9 @@
 	if x == nil {
 		return nil
 	}
-	x.stale = true
+	if !now.Before(x.nextPlanAt) {
+		x.nextPlanAt, x.stale = now.Add(planInterval), true
+	}
 	x.observeView(now)
 	out := x.run(now, x.decider.Lead(now, x.feed.Leads()))
 	out = append(out, x.run(now, x.decider.Tick(now))...)
@@ -277,7 +283,7 @@
 			continue
 		}
 		if x.guard.Observe(now, x.counts(d, false)) {
-			x.nextReportAt = now
+			x.nextReportAt, x.stale = now, true
 		}
 	}
 }
