--- a/control/sidecar_test.go
+++ b/control/sidecar_test.go
@@ -40,6 +40,7 @@
 	changes  int // documents published so far
 	entries  []record.Entry
 	calls    int // reads and appends of the store
+	rollouts RolloutSettings
 }
 
 type sidecarNode struct {
@@ -100,7 +101,7 @@
 	settings := fleet.SidecarSettings(sidecarFleetName, nil, storeRetention)
 	settings.RendezvousEmptyAtStart = first
 	n.core = NewSidecar(SidecarSettings{
-		Self: self, Fleet: settings, Feed: feed.Settings{Self: self, Decode: decodeVersion, FirstStart: first}, Gone: func(error) bool { return false },
+		Self: self, Fleet: settings, Feed: feed.Settings{Self: self, Decode: decodeVersion, FirstStart: first}, Gone: func(error) bool { return false }, Rollouts: w.rollouts,
 	}, rand.New(rand.NewPCG(w.rnd.Uint64(), 3)))
 	generation := n.generation
 	var tick func()
