rollout, docs: show guards, and raise only what can be taken back in time

Status tells how many nodes have stopped the target version on their own. The share is not raised while nodes report too late for the time that a rollback may take.

--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -29,7 +29,7 @@
 type Settings struct {
 	ExposureShare float64       // greatest share of a service's requests that may reach a bad version
 	ExposureSlack int           // requests that may reach it in addition
-	RollbackTime  time.Duration // time from the evidence against a version after which it gets nothing
+	RollbackTime  time.Duration // time from the evidence against a version after which it gets nothing; 0 means no bound
 }
 
 // Decider is the state machine of the roll-outs of all services at the node that leads: the one that reads the operator's
@@ -285,7 +285,7 @@
 		if r.decision.Sequence() == 0 {
 			continue
 		}
-		s := ServiceStatus{decision: r.announced(now)}
+		s := ServiceStatus{decision: r.announced(now), guards: r.guards()}
 		s.verdict, s.reason = r.judge.Verdict(now)
 		s.baseRequests, s.targetRequests = r.judge.Requests()
 		all = append(all, s)
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -37,11 +37,12 @@
 
 func statusOf(d Decision) status { return status{order: d.Order(), state: d.Phase().State()} }
 
-// flight is what a reporter said last about requests to the base version.
+// flight is what a reporter said last about its requests in flight to the base version, and its guard.
 type flight struct {
 	sequence   uint64
 	requests   int
 	reportedAt time.Time
+	guarded    bool
 }
 
 // situation is what a step depends on besides the run itself.
@@ -95,7 +96,18 @@
 	if last, known := r.inFlight[reporter]; known {
 		r.reportGap += (min(now.Sub(last.reportedAt), maxReportGap) - r.reportGap) / reportGapSamples
 	}
-	r.inFlight[reporter] = flight{sequence: c.Sequence(), requests: c.InFlightBase(), reportedAt: now}
+	r.inFlight[reporter] = flight{sequence: c.Sequence(), requests: c.InFlightBase(), reportedAt: now, guarded: c.Guarded()}
+}
+
+// guards returns the number of nodes whose guard has stopped the target version.
+func (r *run) guards() int {
+	n := 0
+	for _, f := range r.inFlight {
+		if f.guarded {
+			n++
+		}
+	}
+	return n
 }
 
 // announced returns the decision as nodes are told of it.
--- a/rollout/status.go
+++ b/rollout/status.go
@@ -7,6 +7,7 @@
 	reason         string
 	targetRequests uint64
 	baseRequests   uint64
+	guards         int
 }
 
 // Decision returns the last decision.
@@ -23,3 +24,7 @@
 
 // BaseRequests returns the number of requests counted at the base version.
 func (s ServiceStatus) BaseRequests() uint64 { return s.baseRequests }
+
+// Guards returns the number of nodes whose guard has stopped the target version. A few may be cut off from its servers; the
+// verdict is that of the counts of all nodes.
+func (s ServiceStatus) Guards() int { return s.guards }
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -141,7 +141,7 @@
 	if r.left(now) < r.remaining(s)+hurryTime {
 		good = r.judge.totalGoodness(stepSuspicion) >= goodThreshold && !r.judge.suspicious()
 	}
-	if !good || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
+	if !good || !r.revocable(s) || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
 		return Decision{}, false
 	}
 	return r.step(now, PhaseRaised, firstRaise, r.serversFor(firstRaise, s), "good so far"), true
@@ -181,6 +181,11 @@
 	return r.dwell(s) + drainTime + finishTime
 }
 
+// revocable reports whether nodes report soon enough to take a version back within the time for that.
+func (r *run) revocable(s situation) bool {
+	return r.settings.RollbackTime == 0 || r.reportDelay(s)+settleTime <= r.settings.RollbackTime
+}
+
 // rate returns the requests of the service per second. Counts are totals since the order, also for a node that takes over.
 func (r *run) rate(now time.Time, reportDelay float64) float64 {
 	base, target := r.judge.Requests()
