control, operator: report counts at once with a new decision, show guards

A report over two shares would compare the versions over different times, so a node reports what it has counted when it takes over a decision, to the node that sent it. The deciding node's view of guards is in rollouts and in the rollout_step line.

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -159,10 +159,10 @@
 
 // announce sends a decision of this node to all members.
 func (x *rolloutExchange) announce(now time.Time, d rollout.Decision) []message.Action {
-	x.merge(now, d)
 	x.peers[d.Service()] = decidingPeer{key: x.fleet.Self().Key(), heardAt: now}
+	out := x.merge(now, d)
 	x.confirmOwn(now, d)
-	return x.sendToAll(message.NewRolloutDecision(d, true))
+	return append(out, x.sendToAll(message.NewRolloutDecision(d, true))...)
 }
 
 // confirmOwn notes that the node itself decides, unless it is cut off from the others: one of these may have decided since.
@@ -206,11 +206,17 @@
 
 func (x *rolloutExchange) receiveDecision(now time.Time, from member.Key, body message.RolloutDecision) []message.Action {
 	d := body.Decision()
-	x.merge(now, d)
-	if body.Confirmed() {
-		x.confirm(now, from, d)
+	current, known := x.record.Get(now, d.Service())
+	contact := body.Confirmed() && (!known || d.Sequence() >= current.Sequence())
+	if contact {
+		x.peers[d.Service()] = decidingPeer{key: from, heardAt: now}
 	}
-	return x.run(now, x.decider.ObserveAnnouncement(now, d))
+	out := x.merge(now, d)
+	if contact {
+		x.record.Confirm(now, d.Service(), d.Sequence())
+		x.stale = true
+	}
+	return append(out, x.run(now, x.decider.ObserveAnnouncement(now, d))...)
 }
 
 // receiveCounts answers with the decision in force if this node decides.
@@ -223,21 +229,18 @@
 	return out
 }
 
-func (x *rolloutExchange) merge(now time.Time, d rollout.Decision) {
-	if x.record.Merge(now, d) {
-		x.stale = true
-		x.fleet.SetRolloutDigest(x.record.Digest())
-	}
-}
-
-// confirm notes contact to the node that decides, unless its decision is out of date.
-func (x *rolloutExchange) confirm(now time.Time, from member.Key, d rollout.Decision) {
-	if current, ok := x.record.Get(now, d.Service()); !ok || d.Sequence() < current.Sequence() {
-		return
+// merge adds a decision to the record. If it is new, the node reports its counts before it acts on the decision: a report over
+// two shares would compare the versions over different times.
+func (x *rolloutExchange) merge(now time.Time, d rollout.Decision) []message.Action {
+	if !x.record.Merge(now, d) {
+		return nil
 	}
-	x.record.Confirm(now, d.Service(), d.Sequence())
-	x.peers[d.Service()] = decidingPeer{key: from, heardAt: now}
 	x.stale = true
+	x.fleet.SetRolloutDigest(x.record.Digest())
+	if d.Final() {
+		return nil
+	}
+	return x.reportService(now, d)
 }
 
 // repair sends the decisions to a node whose record differs.
@@ -270,8 +273,9 @@
 		return nil
 	}
 	halted := d.WithHalt(operatorHalt)
-	x.merge(now, halted)
-	return append(x.run(now, x.decider.ObserveAnnouncement(now, halted)), x.sendToAll(message.NewRolloutDecision(halted, false))...)
+	out := x.merge(now, halted)
+	out = append(out, x.run(now, x.decider.ObserveAnnouncement(now, halted))...)
+	return append(out, x.sendToAll(message.NewRolloutDecision(halted, false))...)
 }
 
 // observeOwnCounts shows the node's own counts to its guard.
@@ -288,31 +292,37 @@
 	}
 }
 
-// report sends the counts of each running roll-out to the node that decides, if they have changed or were not answered.
+// report sends the counts of each running roll-out to the node that decides.
 func (x *rolloutExchange) report(now time.Time) []message.Action {
 	var out []message.Action
 	for _, d := range x.record.All(now) {
 		if d.Final() {
 			continue
 		}
-		c := x.counts(d, x.guard.Stopped(d.Service()))
+		out = append(out, x.reportService(now, d)...)
 		if x.decider.Leads() {
-			out = append(out, x.run(now, x.decider.ObserveCounts(now, x.fleet.Self().Key(), c))...)
 			x.confirmOwn(now, d)
-			continue
 		}
-		last, reported := x.reports[d.Service()]
-		answered := x.peers[d.Service()].heardAt.After(last.sentAt)
-		to, known := x.decidingNode(d.Service(), answered)
-		if !known || reported && answered && sameCounts(last.counts, c) {
-			continue
-		}
-		x.reports[d.Service()] = sentReport{counts: c, sentAt: now}
-		out = append(out, sendCounts(to, c)...)
 	}
 	return out
 }
 
+// reportService sends the counts of the roll-out of a decision, if they have changed or were not answered.
+func (x *rolloutExchange) reportService(now time.Time, d rollout.Decision) []message.Action {
+	c := x.counts(d, x.guard.Stopped(d.Service()))
+	if x.decider.Leads() {
+		return x.run(now, x.decider.ObserveCounts(now, x.fleet.Self().Key(), c))
+	}
+	last, reported := x.reports[d.Service()]
+	answered := x.peers[d.Service()].heardAt.After(last.sentAt)
+	to, known := x.decidingNode(d.Service(), answered)
+	if !known || reported && answered && sameCounts(last.counts, c) {
+		return nil
+	}
+	x.reports[d.Service()] = sentReport{counts: c, sentAt: now}
+	return sendCounts(to, c)
+}
+
 // decidingNode returns the node that decided last, or if it did not answer the last report, the one that leads reading.
 func (x *rolloutExchange) decidingNode(service string, answered bool) (netip.AddrPort, bool) {
 	peer := x.peers[service].key.Peer()
--- a/control/rolloutstatus.go
+++ b/control/rolloutstatus.go
@@ -15,6 +15,7 @@
 	verdictReason  string
 	baseRequests   uint64
 	targetRequests uint64
+	guards         int
 	stopped        bool
 }
 
@@ -34,6 +35,9 @@
 // TargetRequests returns the same for the target version.
 func (s RolloutStatus) TargetRequests() uint64 { return s.targetRequests }
 
+// Guards returns the number of nodes whose guard has stopped the target version, as the node that decides knows it, else 0.
+func (s RolloutStatus) Guards() int { return s.guards }
+
 // Stopped reports whether the node's own guard has stopped the target version.
 func (s RolloutStatus) Stopped() bool { return s.stopped }
 
@@ -64,6 +68,7 @@
 		if own, ok := decided[d.Service()]; ok {
 			s.verdict, s.verdictReason = own.Verdict(), own.Reason()
 			s.baseRequests, s.targetRequests = own.BaseRequests(), own.TargetRequests()
+			s.guards = own.Guards()
 		} else {
 			s.baseRequests, s.targetRequests = totalRequests(x.counts(d, false))
 		}
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -58,7 +58,7 @@
 	v.log.Info().Str("kind", "rollout_step").Str("service", d.Service()).Str("target", d.Target()).Str("base", d.Base()).Uint64("order", d.Order()).
 		Uint64("sequence", d.Sequence()).Stringer("phase", d.Phase()).Int("share_thousandths", d.EffectiveShare()).Int("servers", d.Servers()).Bool("halted", d.Halted()).
 		Str("reason", d.Reason()).Dur("age", d.Age()).Dur("limit", d.Limit()).Stringer("decided_by", s.Decider()).Stringer("verdict", verdict).Str("verdict_reason", why).
-		Uint64("base_requests", s.BaseRequests()).Uint64("target_requests", s.TargetRequests()).Msg("step of a roll-out")
+		Int("guards", s.Guards()).Uint64("base_requests", s.BaseRequests()).Uint64("target_requests", s.TargetRequests()).Msg("step of a roll-out")
 	phase := d.Phase().String()
 	if d.Halted() {
 		phase = "halted"
@@ -146,7 +146,7 @@
 	}
 	fields := operator.RolloutFields{
 		Service: d.Service(), Target: d.Target(), Base: d.Base(), Phase: d.Phase().String(), Share: float64(d.EffectiveShare()) / rollout.FullShare,
-		Servers: d.Servers(), Halted: d.Halted(), Stopped: s.Stopped(), Sequence: d.Sequence(), Age: d.Age().Round(time.Millisecond), Limit: d.Limit(),
+		Servers: d.Servers(), Halted: d.Halted(), Stopped: s.Stopped(), Guards: s.Guards(), Sequence: d.Sequence(), Age: d.Age().Round(time.Millisecond), Limit: d.Limit(),
 		Verdict: verdict.String(), BaseRequests: s.BaseRequests(), TargetRequests: s.TargetRequests(), Reason: reason,
 	}
 	if s.Decider().IsValid() {
--- a/operator/rollout.go
+++ b/operator/rollout.go
@@ -30,6 +30,7 @@
 	Servers        int     // of the target version in use, 0 for all
 	Halted         bool
 	Stopped        bool // by the node's own guard
+	Guards         int  // nodes whose guard has stopped the target version, at the node that decides
 	Sequence       uint64
 	Age            time.Duration // of the order
 	Limit          time.Duration
@@ -49,6 +50,7 @@
 	Servers        int     `json:"servers"`
 	Halted         bool    `json:"halted"`
 	Stopped        bool    `json:"stopped"`
+	Guards         int     `json:"guards"`
 	Sequence       uint64  `json:"sequence"`
 	AgeSeconds     float64 `json:"age_seconds"`
 	LimitSeconds   float64 `json:"limit_seconds"`
@@ -64,7 +66,7 @@
 	rows := make([]rolloutJSON, 0, len(rollouts))
 	for _, r := range rollouts {
 		rows = append(rows, rolloutJSON{
-			Service: r.Service, Target: r.Target, Base: r.Base, Phase: r.Phase, Share: r.Share, Servers: r.Servers, Halted: r.Halted, Stopped: r.Stopped,
+			Service: r.Service, Target: r.Target, Base: r.Base, Phase: r.Phase, Share: r.Share, Servers: r.Servers, Halted: r.Halted, Stopped: r.Stopped, Guards: r.Guards,
 			Sequence: r.Sequence, AgeSeconds: r.Age.Seconds(), LimitSeconds: r.Limit.Seconds(), Verdict: r.Verdict, BaseRequests: r.BaseRequests,
 			TargetRequests: r.TargetRequests, Decider: r.Decider, Reason: r.Reason,
 		})
@@ -96,7 +98,7 @@
 	var all []RolloutFields
 	for _, r := range rows {
 		all = append(all, RolloutFields{
-			Service: r.Service, Target: r.Target, Base: r.Base, Phase: r.Phase, Share: r.Share, Servers: r.Servers, Halted: r.Halted, Stopped: r.Stopped,
+			Service: r.Service, Target: r.Target, Base: r.Base, Phase: r.Phase, Share: r.Share, Servers: r.Servers, Halted: r.Halted, Stopped: r.Stopped, Guards: r.Guards,
 			Sequence: r.Sequence, Age: seconds(r.AgeSeconds), Limit: seconds(r.LimitSeconds), Verdict: r.Verdict, BaseRequests: r.BaseRequests,
 			TargetRequests: r.TargetRequests, Decider: r.Decider, Reason: r.Reason,
 		})
--- a/query/rollouts.go
+++ b/query/rollouts.go
@@ -11,8 +11,8 @@
 )
 
 const rolloutsLong = `Lists the last roll-out of each service as a sidecar knows it: the versions, the phase with the share of requests that go to
-the target version and the servers in use, the age of the order and its time limit, the verdict, the requests counted at the base and the
-target version, the node that decides and the reason of the last step. At the node that decides the figures are those of all nodes; others
+the target version and the servers in use, the age of the order and its time limit, the verdict, the nodes whose own guard has
+stopped the target version, the requests counted at the base and the target version, the node that decides and the reason of the last step. At the node that decides the figures are those of all nodes; others
 show their own and no verdict.
 
 With --halt, halts the roll-out of a service on all nodes: nothing more goes to the target version, and the roll-out is rolled back. Run it
@@ -68,7 +68,7 @@
 
 func writeRollouts(env command.Env, rollouts []operator.RolloutFields) error {
 	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "SERVICE\tBASE\tTARGET\tPHASE\tSHARE\tSERVERS\tAGE\tLIMIT\tVERDICT\tBASE REQUESTS\tTARGET REQUESTS\tDECIDER\tREASON")
+	fmt.Fprintln(w, "SERVICE\tBASE\tTARGET\tPHASE\tSHARE\tSERVERS\tAGE\tLIMIT\tVERDICT\tGUARDS\tBASE REQUESTS\tTARGET REQUESTS\tDECIDER\tREASON")
 	for _, r := range rollouts {
 		phase := r.Phase
 		switch {
@@ -77,8 +77,8 @@
 		case r.Stopped:
 			phase += ", stopped here"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.1f%%\t%s\t%v\t%v\t%s\t%d\t%d\t%s\t%s\n", r.Service, r.Base, r.Target, phase, 100*r.Share, serversInUse(r.Servers),
-			r.Age.Round(100*time.Millisecond), r.Limit, r.Verdict, r.BaseRequests, r.TargetRequests, r.Decider, r.Reason)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.1f%%\t%s\t%v\t%v\t%s\t%d\t%d\t%d\t%s\t%s\n", r.Service, r.Base, r.Target, phase, 100*r.Share, serversInUse(r.Servers),
+			r.Age.Round(100*time.Millisecond), r.Limit, r.Verdict, r.Guards, r.BaseRequests, r.TargetRequests, r.Decider, r.Reason)
 	}
 	return w.Flush()
 }
--- a/query/rollouts_test.go
+++ b/query/rollouts_test.go
@@ -20,7 +20,7 @@
 	mux.HandleFunc("GET "+operator.RolloutsPath, func(w http.ResponseWriter, _ *http.Request) {
 		_ = operator.WriteRollouts(w, []operator.RolloutFields{{
 			Service: "cart", Base: "v1", Target: "v2", Phase: "canary", Share: 0.07, Servers: 3, Halted: true, Age: 9 * time.Second, Limit: 24 * time.Second,
-			Verdict: "bad", BaseRequests: 930, TargetRequests: 70, Decider: "10.0.0.1:7000", Reason: "failures",
+			Verdict: "bad", Guards: 2, BaseRequests: 930, TargetRequests: 70, Decider: "10.0.0.1:7000", Reason: "failures",
 		}})
 	})
 	mux.HandleFunc("POST "+operator.HaltPath, func(w http.ResponseWriter, r *http.Request) {
@@ -36,7 +36,7 @@
 	}
 	code, out := run("rollouts")
 	qt.Check(t, code, qt.Equals, command.ExitOK)
-	qt.Check(t, out, qt.Matches, `(?s).*cart +v1 +v2 +canary, halted +7.0% +3 +9s +24s +bad +930 +70 +10.0.0.1:7000 +failures\n`)
+	qt.Check(t, out, qt.Matches, `(?s).*cart +v1 +v2 +canary, halted +7.0% +3 +9s +24s +bad +2 +930 +70 +10.0.0.1:7000 +failures\n`)
 	code, _ = run("rollouts", "--halt", "cart")
 	qt.Check(t, code, qt.Equals, command.ExitOK)
 	qt.Check(t, halted, qt.Equals, "cart")
