--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -138,7 +138,7 @@
 // weakest returns the strength of the evidence against the most likely way to be bad.
 func (r *ratios) weakest(alarm *ratios, suspicion float64) float64 {
 	weakest := math.Inf(1)
-	for i, sum := range r {
+	for i, sum := range r[:plainHypotheses] {
 		if alarm[i] > suspicion {
 			return 0
 		}
--- a/rollout/hypothesis.go
+++ b/rollout/hypothesis.go
@@ -7,7 +7,10 @@
 	failed     = Buckets     // category of failed responses
 
 	// hypothesisCount is the number of ways to be bad that a Judge compares the counts with.
-	hypothesisCount = 10
+	hypothesisCount = 14
+	// plainHypotheses is the number of these, the first ones, that a good version has to be told from. The others are bad
+	// in fewer responses, such as when servers come under load now and then, and would need too many requests for that.
+	plainHypotheses = 10
 	// failingHypotheses is the number of these, the first ones, that are about failures.
 	failingHypotheses = 4
 
@@ -103,6 +106,8 @@
 		for j, fraction := range [...]float64{0.4, 0.7, 1} {
 			all[failingHypotheses+2*j+i] = d.slowed(fraction, badShift).logarithms()
 		}
+		all[plainHypotheses+i] = d.failing(0.1).logarithms()
+		all[plainHypotheses+2+i] = d.slowed(0.1, badShift).logarithms()
 	}
 	return all
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -32,6 +32,8 @@
 	stepSuspicion = 4
 	// haltSuspicion is the same for a version that was good and has used up the permitted exposure.
 	haltSuspicion = 7
+	// shiftSuspicion is the same for a version that begins to get all requests.
+	shiftSuspicion = 5
 	// minRouteShare is the share of a service's requests from which a route is judged good by itself. Rarer routes get too
 	// few requests for that within the exposure that is permitted, and count in the total and against a version only.
 	minRouteShare = 0.02
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -84,6 +84,8 @@
 	switch {
 	case verdict == VerdictBad:
 		r.halt = reason
+	case r.decision.Phase() == PhaseShifting && r.judge.finished && r.judge.goodness(shiftSuspicion) < stepThreshold:
+		r.halt = "not good by the last reports before the shift"
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
 	case r.decision.Phase() == PhaseRaised && r.judge.goodness(haltSuspicion) < pressedThreshold && !r.affordable(now, 0, s, haltFraction):
