--- a/control/sidecar_test.go
+++ b/control/sidecar_test.go
@@ -44,6 +44,7 @@
 	decode   func(data []byte) (*routing.Table, error)
 
 	quotaMessages int
+	rollouts      RolloutSettings
 }
 
 type sidecarNode struct {
@@ -107,7 +108,8 @@
 	n.limiter = quota.NewShared(quota.NewLimiter(rand.New(rand.NewPCG(w.lastSeq, 4))))
 	n.core = NewSidecar(SidecarSettings{
 		Self: self, Fleet: settings, Feed: feed.Settings{Self: self, Decode: w.decode, FirstStart: first}, Gone: func(error) bool { return false },
-		Quota: QuotaSettings{Limiter: n.limiter, Slack: 20, Window: 5 * time.Second},
+		Quota:    QuotaSettings{Limiter: n.limiter, Slack: 20, Window: 5 * time.Second},
+		Rollouts: w.rollouts,
 	}, rand.New(rand.NewPCG(w.rnd.Uint64(), 3)))
 	generation := n.generation
 	var tick func()
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -30,7 +30,7 @@
 	result.retryAfter = after
 	in.settings.AnsweredLog.Info().Str("kind", "request_refused").Str("request", q.id).Str("reason", string(ReasonQuota)).
 		Int("status", http.StatusTooManyRequests).Str("organisation", organisation.Name()).Dur("retry_after", after).
-		Uint64("version", q.version()).Msg("request over the quota refused")
+		Uint64("version", q.tableVersion()).Msg("request over the quota refused")
 	header := make(http.Header)
 	header.Set("Retry-After", retryAfter(result))
 	return exchange.NewResponse(http.StatusTooManyRequests, header, nil)
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -77,6 +77,7 @@
 	documentCodecs(),
 	quarantineCodecs(),
 	quotaCodecs(),
+	rolloutCodecs(),
 )
 
 type codecRegistry struct {
