--- a/routing/organisation.go
+++ b/routing/organisation.go
@@ -51,12 +51,12 @@
 // Organisations holds the organisations of a table by their API keys.
 type Organisations struct {
 	byName map[string]Organisation
-	byKey  map[keySum]Organisation
+	byKey  map[keySum]*Organisation // pointers, as an organisation has many keys
 }
 
 // NewOrganisations returns an empty set of organisations.
 func NewOrganisations() *Organisations {
-	return &Organisations{byName: make(map[string]Organisation), byKey: make(map[keySum]Organisation)}
+	return &Organisations{byName: make(map[string]Organisation), byKey: make(map[keySum]*Organisation)}
 }
 
 // Add adds an organisation with its API keys. The error is ErrSharedKey, ErrEmptyKey, ErrOrganisationName or ErrOrganisationQuota and names no
@@ -76,7 +76,7 @@
 		if other, known := s.byKey[sum]; known && other.Name() != organisation.Name() {
 			return ErrSharedKey
 		}
-		s.byKey[sum] = organisation
+		s.byKey[sum] = &organisation
 	}
 	s.byName[organisation.Name()] = organisation
 	return nil
@@ -85,7 +85,10 @@
 // ByKey returns the organisation that an API key belongs to.
 func (s *Organisations) ByKey(key string) (Organisation, bool) {
 	t, ok := s.byKey[keySum(sha256.Sum256([]byte(key)))]
-	return t, ok
+	if !ok {
+		return Organisation{}, false
+	}
+	return *t, true
 }
 
 // ByName returns the organisation with the given name.
