proxy, usage, node, query: show operators the requests of organisations

Cause: nothing showed which organisation asks for how much, or whose requests are refused.

Change: each node counts the requests of callers on its VM by organisation: asked, answered, waiting, and refused or lost by reason. The log lines of requests name the organisation, and so does trace.

--- a/command/release.go
+++ b/command/release.go
@@ -57,5 +57,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewQuarantineClient(addr, &http.Client{Timeout: o.RequestTimeout, Transport: &http.Transport{}}), nil
+	return operator.NewQuarantineClient(addr, o.httpClient()), nil
+}
+
+// OrganisationClient returns a client of the sidecar. It fails only if the address is invalid.
+func (o SidecarOptions) OrganisationClient() (*operator.OrganisationClient, error) {
+	addr, err := parseNode(o.Node)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewOrganisationClient(addr, o.httpClient()), nil
+}
+
+func (o SidecarOptions) httpClient() *http.Client {
+	return &http.Client{Timeout: o.RequestTimeout, Transport: &http.Transport{}}
 }
--- a/node/observehandler.go
+++ b/node/observehandler.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/bambooknot/bambooknot/message"
+	"github.com/bambooknot/bambooknot/operator"
+	"github.com/bambooknot/bambooknot/usage"
 )
 
 // newObserveHandler returns a handler for metrics, readiness, liveness and quarantined calls. A node is ready while it serves calls, and
@@ -23,9 +25,13 @@
 }
 
 // newSidecarObserveHandler returns the handler of a sidecar's metrics port.
-func newSidecarObserveHandler(metrics http.Handler, quarantine *quarantineView) http.Handler {
+func newSidecarObserveHandler(metrics http.Handler, quarantine *quarantineView, organisations *usage.Counts) http.Handler {
 	mux := http.NewServeMux()
 	quarantine.register(mux)
+	mux.HandleFunc("GET "+operator.OrganisationsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = operator.WriteOrganisations(w, organisations.List()) // the client has gone
+	})
 	mux.Handle("/", metrics)
 	return mux
 }
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -195,7 +195,7 @@
 func (n *Sidecar) startServers(s setting.Sidecar, sockets sidecarSockets) {
 	n.heartbeatServer = newHTTPServer(sockets.server, n.heartbeats)
 	n.readinessServer = newHTTPServer(sockets.ready, http.HandlerFunc(n.serveReady))
-	n.metricsServer = newHTTPServer(sockets.metrics, newSidecarObserveHandler(n.metrics.Handler(), n.quarantine))
+	n.metricsServer = newHTTPServer(sockets.metrics, newSidecarObserveHandler(n.metrics.Handler(), n.quarantine, n.ingress.Usage()))
 	n.callerServer = exchange.NewServer(sockets.callers, exchange.Settings{
 		Handle: n.ingress.Handle,
 		Limits: func() exchange.Limits {
@@ -296,6 +296,7 @@
 		scope.Tagged(map[string]string{"kind": kind}).Gauge("log_lines_dropped").Update(float64(lines))
 	}
 	scope.Gauge("requests_quarantined").Update(float64(len(n.quarantine.load().Quarantined())))
+	n.ingress.Usage().Publish(scope)
 	scope.Gauge("callers_active").Update(float64(n.callerServer.ActiveRequests()))
 	n.queue.query(func() {
 		f := n.core.Feed()
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -63,14 +63,18 @@
 }
 
 // QuarantineClient asks one sidecar for the requests that servers crashed with.
-type QuarantineClient struct {
+type QuarantineClient struct{ metricsClient }
+
+// metricsClient sends requests to the metrics port of one sidecar.
+type metricsClient struct {
+	step       string // in errors
 	address    netip.AddrPort
 	httpClient *http.Client
 }
 
 // NewQuarantineClient returns a client of the metrics port at the given address.
 func NewQuarantineClient(address netip.AddrPort, client *http.Client) *QuarantineClient {
-	return &QuarantineClient{address: address, httpClient: client}
+	return &QuarantineClient{metricsClient{step: "operator.quarantine", address: address, httpClient: client}}
 }
 
 // List returns the contents that are quarantined.
@@ -100,19 +104,19 @@
 	return resp.Body.Close()
 }
 
-func (c *QuarantineClient) do(ctx context.Context, method, path string) (*http.Response, error) {
+func (c *metricsClient) do(ctx context.Context, method, path string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address.String()+path, nil)
 	if err != nil {
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(err)
+		return nil, oops.In(c.step).With("peer", c.address).Wrap(err)
 	}
 	resp, err := c.httpClient.Do(req)
 	if err != nil {
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(err)
+		return nil, oops.In(c.step).With("peer", c.address).Wrap(err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText)) // what was read of the text is shown
-		return nil, oops.In("operator.quarantine").With("peer", c.address).Wrap(&RejectedError{status: resp.StatusCode, message: string(text)})
+		return nil, oops.In(c.step).With("peer", c.address).Wrap(&RejectedError{status: resp.StatusCode, message: string(text)})
 	}
 	return resp, nil
 }
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/bambooknot/bambooknot/retry"
 	"github.com/bambooknot/bambooknot/routing"
 	"github.com/bambooknot/bambooknot/timer"
+	"github.com/bambooknot/bambooknot/usage"
 )
 
 // IngressSettings configure an Ingress.
@@ -47,6 +48,7 @@
 	starting startState
 	pool     *exchange.Pool
 	latency  tally.Histogram
+	usage    *usage.Counts // by organisation
 
 	mu           sync.Mutex
 	balancer     *balance.Machine
@@ -70,6 +72,7 @@
 		starting:      newStartState(s.Timers),
 		pool:          exchange.NewPool(s.Pool),
 		latency:       s.Scope.Histogram("request_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		usage:         usage.New(),
 		balancer:      balance.New(s.Balance, s.Self, s.Place, s.Rand),
 		retryBudgets:  make(map[string]*retry.WindowBudget),
 		splitter:      routing.NewSplitter(s.Rand),
@@ -99,6 +102,9 @@
 	r.Header().Del(headerTrial)
 	response, request := in.handle(ctx, info, r)
 	platform.SetAttemptID(response.Header(), info.AttemptID())
+	if request.organisation.name != "" {
+		in.usage.End(request.organisation.name, request.ending.outcome == OutcomeAnswered, string(request.ending.reason))
+	}
 	in.trackFailure(request, response)
 	in.recordRequest(request, response)
 	return response
@@ -126,6 +132,9 @@
 	if timeout, stated := info.Timeout(); stated {
 		q.timeout, q.callerTimeout = min(q.timeout, timeout), timeout
 	}
+	if q.organisation.name != "" {
+		in.usage.Begin(q.organisation.name)
+	}
 	in.matchRetry(q)
 	if s, now := in.plannedShutdown.Load(), in.settings.Timers.Now(); s != nil && !s.admits(now, q.timeout) {
 		result := notRun(ReasonStopping)
@@ -148,6 +157,7 @@
 	snapshot            *routing.Snapshot
 	route               routing.Route
 	organisation        organisation // that sent the request; the zero value if none did
+	ending              Result       // of the last attempt, once it is known
 	service             string
 	timeout             time.Duration // from receipt to deadline
 	callerTimeout       time.Duration // from receipt until the caller stops waiting and retrying
@@ -381,5 +391,8 @@
 	return balance.ResultFailed
 }
 
+// Usage returns the requests of organisations, which an operator may ask for.
+func (in *Ingress) Usage() *usage.Counts { return in.usage }
+
 // Close closes the connections to other nodes.
 func (in *Ingress) Close() { in.pool.Close() }
--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/rs/zerolog"
+
 	"github.com/bambooknot/bambooknot/platform"
 )
 
@@ -72,3 +74,11 @@
 	}
 	return organisation{name: name, priority: priority}, nil
 }
+
+// log adds the name to a log line, if there is one.
+func (o organisation) log(event *zerolog.Event) *zerolog.Event {
+	if o.name == "" {
+		return event
+	}
+	return event.Str("organisation", o.name)
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -342,7 +342,7 @@
 	if result.statement.limited {
 		event = event.Float64("per_second", result.statement.perSecond)
 	}
-	event.Str("kind", "server_result").Str("request", c.requestID).Str("server", b.id).Stringer("ending", result.outcome).Str("reason", string(result.reason)).
+	c.organisation.log(event).Str("kind", "server_result").Str("request", c.requestID).Str("server", b.id).Stringer("ending", result.outcome).Str("reason", string(result.reason)).
 		Int("urgency", c.priority).Dur("left", c.timeLeft).Dur("target", c.timeToTarget).Dur("most", o.runTimes.upperBound(c)).
 		Int("running", result.load.Running()).Int("queued", result.load.Queued()).Dur("waited", result.queueTime).Dur("took", latency).Msg(text)
 }
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -15,12 +15,13 @@
 	if r.outcome != OutcomeAnswered {
 		return in.giveUp(q, r)
 	}
+	q.ending = r
 	loss, latency := in.recordLoss(q, r)
 	log := &in.settings.AnsweredLog
 	if loss != LossNone {
 		log = &in.settings.Log
 	}
-	log.Info().Str("kind", "request_answered").Str("request", q.id).Int("status", r.response.Status()).Str("loss", string(loss)).
+	q.organisation.log(log.Info()).Str("kind", "request_answered").Str("request", q.id).Int("status", r.response.Status()).Str("loss", string(loss)).
 		Str("route", q.route.Name()).Str("service", q.service).Uint64("version", q.version()).Stringer("node", q.tried[len(q.tried)-1].Peer()).
 		Int("tried", len(q.tried)).Int("arrivals", q.serverAttempts).Dur("limit", q.timeout).Dur("target", q.route.TargetLatency()).Dur("earlier", q.earlierAttemptsTime).
 		Dur("waited", r.queueTime).Dur("ran", r.runTime).Dur("took", latency).Msg("request answered")
@@ -30,6 +31,7 @@
 // giveUp returns the response to a request that is not tried any further. Status 503 guarantees that the request has not
 // run and never will; 502 and 504 guarantee nothing.
 func (in *Ingress) giveUp(q *request, r Result) *exchange.Response {
+	q.ending = r
 	status := http.StatusServiceUnavailable
 	header := make(http.Header)
 	switch {
@@ -58,7 +60,7 @@
 
 // refuse returns the response to an invalid request.
 func (in *Ingress) refuse(q *request, status int, reason string) *exchange.Response {
-	in.settings.Log.Info().Str("kind", "request_refused").Str("request", q.id).Str("reason", reason).Int("status", status).
+	q.organisation.log(in.settings.Log.Info()).Str("kind", "request_refused").Str("request", q.id).Str("reason", reason).Int("status", status).
 		Str("host", q.original.Host()).Uint64("version", q.version()).Msg("invalid request refused")
 	return exchange.NewResponse(status, nil, nil)
 }
@@ -80,14 +82,14 @@
 
 func (in *Ingress) logGivenUp(q *request, r Result, status int) {
 	loss, latency := in.recordLoss(q, r)
-	in.settings.Log.Info().Str("kind", "request_given_up").Str("request", q.id).Int("status", status).Stringer("ending", r.outcome).
+	q.organisation.log(in.settings.Log.Info()).Str("kind", "request_given_up").Str("request", q.id).Int("status", status).Stringer("ending", r.outcome).
 		Str("reason", string(r.reason)).Str("loss", string(loss)).Str("route", q.route.Name()).Str("service", q.service).Uint64("version", q.version()).
 		Int("tried", len(q.tried)).Int("arrivals", q.serverAttempts).Dur("limit", q.timeout).Dur("retry_after", r.retryAfter).
 		Dur("took", latency).Msg("request given up")
 }
 
 func (in *Ingress) logRetry(q *request, to member.Member, r Result) {
-	in.settings.Log.Info().Str("kind", "request_retried").Str("request", q.id).Stringer("node", to.Key().Peer()).Stringer("ending", r.outcome).
+	q.organisation.log(in.settings.Log.Info()).Str("kind", "request_retried").Str("request", q.id).Stringer("node", to.Key().Peer()).Stringer("ending", r.outcome).
 		Str("reason", string(r.reason)).Str("service", q.service).Uint64("version", q.version()).Int("running", r.load.Running()).Int("queued", r.load.Queued()).
 		Dur("took", in.settings.Timers.Now().Sub(q.receivedAt)).Msg("trying another server")
 }
