quota, docs: spend bursts slowly and describe quotas

The burst is spent within 1.5 s, debts are paid back within 0.5 s, and two fifths of a large burst are kept as a margin.

--- a/quota/account.go
+++ b/quota/account.go
@@ -6,8 +6,13 @@
 )
 
 const (
-	// debtTime is the time within which a debt is paid back or a surplus is spent.
-	debtTime = 700 * time.Millisecond
+	// debtTime is the time within which a debt is paid back, surplusTime that within which the burst is spent. A burst that is
+	// spent faster turns into a debt before nodes have heard of the demand.
+	debtTime    = 500 * time.Millisecond
+	surplusTime = 1500 * time.Millisecond
+	// A part burstMargin of what a burst has above smallBurst is not granted: it makes up for late reports.
+	burstMargin = 0.4
+	smallBurst  = 20
 	// minDemandTime and maxDemandTime bound the time constant of the estimate of the demand. With demandSamples requests at
 	// the limit its error is a third; for large organisations it must cover two reports of each node.
 	minDemandTime = 400 * time.Millisecond
@@ -21,7 +26,7 @@
 	// learningTime is the age up to which an account says that it does not know the demand of all nodes.
 	learningTime = 250 * time.Millisecond
 	// trendTime is the time constant of the fraction that idle nodes are told.
-	trendTime = 600 * time.Millisecond
+	trendTime = 300 * time.Millisecond
 	// Nodes are told a fraction without a report if it is less than pushDecline or more than pushRise times what they were
 	// told last. While an organisation is limited, they are told again every pushRefresh.
 	pushDecline = 0.6
@@ -103,14 +108,18 @@
 // refill adds the tokens of the time since the last call.
 func (a *account) refill(now time.Time) {
 	a.level += a.limit.rate * a.coverage * max(now.Sub(a.levelAt), 0).Seconds()
-	a.level = min(a.level, a.limit.burst*a.coverage)
+	a.level = min(a.level, a.burst()*a.coverage)
 	a.levelAt = now
 }
 
+func (a *account) burst() float64 {
+	return a.limit.burst - burstMargin*max(a.limit.burst-smallBurst, 0)
+}
+
 func (a *account) setLimit(now time.Time, limit Limit) {
 	a.refill(now)
 	a.limit = limit
-	a.level = max(min(a.level, limit.burst), -limit.rate*debtTime.Seconds())
+	a.level = max(min(a.level, a.burst()), -limit.rate*debtTime.Seconds())
 }
 
 // record charges a node's usage to the account. A report that repeats requests of the last one counts only the difference.
@@ -163,7 +172,10 @@
 func (a *account) fraction(now time.Time) float64 {
 	a.refill(now)
 	demand := a.demand.at(now, a.demandTime())
-	allowed := a.limit.rate*a.coverage + a.level/debtTime.Seconds()
+	allowed := a.limit.rate*a.coverage + a.level/surplusTime.Seconds()
+	if a.level < 0 {
+		allowed = a.limit.rate*a.coverage + a.level/debtTime.Seconds()
+	}
 	if allowed >= demand {
 		return 1
 	}
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -14,8 +14,9 @@
 	// startTime is the age of an account up to which it keeps back the share of members that have not reported to its owner.
 	// Members that cannot reach it are suspected by then.
 	startTime = 3 * time.Second
-	// maxSilence is the time after which a member without reports that is not suspected has no requests.
-	maxSilence = 10 * time.Second
+	// maxSilence is the time after which a member without reports that is not suspected has no requests. A member in another
+	// region is suspected 3 s after it was cut off.
+	maxSilence = 4 * time.Second
 	// accountRetention is the time without reports after which an account is closed.
 	accountRetention = 30 * time.Second
 	// foreignRetention is the same for accounts that another node owns.
@@ -23,7 +24,7 @@
 	// A node is out of touch after the mean time between its reports plus silentDeviations times the mean deviation, and
 	// silenceMargin.
 	silentDeviations = 4
-	silenceMargin    = 200 * time.Millisecond
+	silenceMargin    = 100 * time.Millisecond
 	// gapWeight is the weight of the last time between two reports in these means.
 	gapWeight = 0.2
 	// An organisation is limited if the mean of its fraction is below limitedTrend, until it has not been for limitedTime.
@@ -142,6 +143,9 @@
 		}
 		a := s.account(now, u.ID(), limit)
 		a.record(now, node, number, u, s.Size())
+		if a.initial(now) {
+			s.updateCoverage(now, a)
+		}
 		shares = append(shares, a.grant(now, node, s.Size()))
 		initial = initial || a.initial(now)
 	}
@@ -166,7 +170,7 @@
 func (s *Accounts) account(now time.Time, id ID, limit Limit) *account {
 	a := s.accounts[id]
 	if a == nil {
-		a = newAccount(now, id, limit, float64(s.settings.Slack)/2)
+		a = newAccount(now, id, limit, float64(s.settings.Slack)/4)
 		s.accounts[id] = a
 		s.updateCoverage(now, a)
 	}
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -168,10 +168,10 @@
 	e.base = e.sentNumber
 }
 
-// apply stores a grant. If keep is true, the owner does not know the demand of all nodes yet, and the fraction of its
-// predecessor holds, if there is one.
+// apply stores a grant. If keep is true, the owner does not know the demand of all nodes yet, and a lower
+// fraction of its predecessor holds.
 func (e *entry) apply(now time.Time, number uint32, keep bool, s Share) {
-	keep = keep && !e.grantedAt.IsZero()
+	keep = keep && !e.grantedAt.IsZero() && s.Fraction() >= e.fraction
 	if number != 0 {
 		e.acknowledge(number)
 	}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -380,7 +380,7 @@
 				b.ReportMetric(o.messages, "messages/s")
 				b.ReportMetric(o.bytes, "B/s")
 				if o.excess > 1 || o.least < sc.within {
-					b.Fail()
+					b.Errorf("%+.3f", o)
 				}
 			}
 		})
