quota: tell idle nodes of a limit only when it declines clearly

Each dip of a small organisation's estimated fraction below 0.9 was sent to all nodes that had never heard of it.

--- a/quota/account.go
+++ b/quota/account.go
@@ -218,8 +218,9 @@
 	}
 	limited := a.trend < limitedTrend && a.demand.at(now, a.demandTime()) > minPushDemand*a.limit.rate
 	decline := limited && (a.trend < pushDecline*told || c != nil && now.Sub(c.reportedAt) < time.Second && a.fraction(now) < pushDecline*told)
-	rise := told < 0.9 && (a.trend > pushRise*told || a.trend > 0.99)
-	if !decline && !rise && (!limited || now.Sub(toldAt) < pushRefresh) {
+	rise := told < limitedTrend && a.trend > pushRise*told || told < 0.98 && a.trend > 0.99
+	refresh := limited && told < limitedTrend && now.Sub(toldAt) >= pushRefresh
+	if !decline && !rise && !refresh {
 		return Share{}, false
 	}
 	c = a.contribution(node)
