rollout: weigh the last steps against bad versions on rare routes

More evidence is needed then; a good version with few samples is rolled back a little more often instead.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -95,6 +95,9 @@
 // One faulty server among several is not a bad version.
 func (e *evidence) isBad(ways int, threshold float64) bool {
 	for i := range ways {
+		if i == plainHypotheses {
+			threshold *= sparseFraction
+		}
 		if e.alarm[0][i] >= threshold && e.othersAlarmed(i, threshold*othersFraction) {
 			return true
 		}
@@ -102,6 +105,10 @@
 	return false
 }
 
+// sparseFraction is the part of the threshold that is enough for ways to be bad that show in few responses: what is sent
+// until the whole is reached would take too long.
+const sparseFraction = 0.75
+
 // othersFraction is the part of the threshold that the evidence without any one cohort has to reach.
 const othersFraction = 0.65
 
@@ -124,10 +131,10 @@
 	return best
 }
 
-// bestSubset returns the subset that speaks most for the target version: all cohorts, or all but that of a faulty server.
-func (e *evidence) bestSubset() int {
-	best := 0
-	for subset := range subsets {
+// bestExclusion returns the subset without the cohort that speaks most against the target version.
+func (e *evidence) bestExclusion() int {
+	best := 1
+	for subset := 2; subset < subsets; subset++ {
 		if e.goodness(&e.sum, subset, badThreshold) > e.goodness(&e.sum, best, badThreshold) {
 			best = subset
 		}
--- a/rollout/hypothesis.go
+++ b/rollout/hypothesis.go
@@ -106,8 +106,8 @@
 		for j, fraction := range [...]float64{0.4, 0.7, 1} {
 			all[failingHypotheses+2*j+i] = d.slowed(fraction, badShift).logarithms()
 		}
-		all[plainHypotheses+i] = d.failing(0.1).logarithms()
-		all[plainHypotheses+2+i] = d.slowed(0.1, badShift).logarithms()
+		all[plainHypotheses+i] = d.failing(0.04).logarithms()
+		all[plainHypotheses+2+i] = d.slowed(0.04, badShift).logarithms()
 	}
 	return all
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -25,7 +25,7 @@
 	// goodThreshold is the same for good.
 	goodThreshold = 16
 	// pressedThreshold is the same once time or permitted exposure run out.
-	pressedThreshold = 7
+	pressedThreshold = 9.5
 	// guardThreshold is the same for a node's own guard, of which there are many.
 	guardThreshold = 16
 	// stepSuspicion is the strength of evidence against a version from which on it does not get more requests.
@@ -169,12 +169,12 @@
 	if total == nil {
 		return 0
 	}
-	return total.goodness(&total.sum, total.bestSubset(), suspicion)
+	return max(total.goodness(&total.sum, 0, suspicion), total.goodness(&total.sum, total.bestExclusion(), suspicion))
 }
 
-// suspicious reports whether there is evidence against the version on any route.
-func (j *Judge) suspicious() bool {
-	_, bad := j.badRoute(hypothesisCount, stepSuspicion)
+// suspicious reports whether there is evidence against the version on any route, of that strength at least.
+func (j *Judge) suspicious(suspicion float64) bool {
+	_, bad := j.badRoute(plainHypotheses, suspicion)
 	return bad
 }
 
@@ -182,14 +182,18 @@
 	return j.leastGoodness(func(e *evidence, subset int) float64 { return e.goodness(&e.sinceMark, subset, stepSuspicion) })
 }
 
-// leastGoodness leaves out the same cohort on all routes: the one that suits best on each would suit bad versions too.
+// leastGoodness returns the least strength over the routes, of all cohorts or without that of a faulty server. It leaves out
+// the same cohort on all routes: the one that suits best on each would suit bad versions too.
 func (j *Judge) leastGoodness(of func(e *evidence, subset int) float64) float64 {
 	total := j.evidence[totalRoute]
 	if total == nil {
 		return 0
 	}
-	subset := total.bestSubset()
-	least := of(total, subset)
+	return max(j.leastOf(of, 0), j.leastOf(of, total.bestExclusion()))
+}
+
+func (j *Judge) leastOf(of func(e *evidence, subset int) float64, subset int) float64 {
+	least := of(j.evidence[totalRoute], subset)
 	for route, n := range j.base {
 		if float64(n) < minRouteShare*float64(j.base[totalRoute]) {
 			continue
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -84,7 +84,7 @@
 	switch {
 	case verdict == VerdictBad:
 		r.halt = reason
-	case r.decision.Phase() == PhaseShifting && r.judge.finished && r.judge.goodness(shiftSuspicion) < stepThreshold:
+	case r.decision.Phase() == PhaseShifting && r.judge.finished && r.lateDoubt():
 		r.halt = "not good by the last reports before the shift"
 	case r.decision.Phase() != PhaseShifting && r.left(now) < finishTime:
 		r.halt = "no clear verdict before the deadline"
@@ -93,6 +93,11 @@
 	}
 }
 
+// lateDoubt reports whether the last reports before the shifting phase speak against the version.
+func (r *run) lateDoubt() bool {
+	return r.judge.goodness(shiftSuspicion) < stepThreshold || r.judge.suspicious(shiftSuspicion)
+}
+
 func (r *run) left(now time.Time) time.Duration { return r.order.Limit() - now.Sub(r.order.At()) }
 
 func (r *run) age(now time.Time) time.Duration { return now.Sub(r.order.At()) }
@@ -141,7 +146,7 @@
 	}
 	good := r.judge.goodness(stepSuspicion) >= goodThreshold
 	if r.left(now) < r.remaining(s)+hurryTime {
-		good = r.judge.totalGoodness(stepSuspicion) >= goodThreshold && !r.judge.suspicious()
+		good = r.judge.totalGoodness(stepSuspicion) >= goodThreshold && !r.judge.suspicious(stepSuspicion)
 	}
 	if !good || !r.revocable(s) || !r.affordable(now, firstRaise, s, budgetFraction) || ready < r.serversFor(firstRaise, s) {
 		return Decision{}, false
