--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -25,7 +25,7 @@
 	// goodThreshold is the same for good.
 	goodThreshold = 16
 	// pressedThreshold is the same once time or permitted exposure run out.
-	pressedThreshold = 9.5
+	pressedThreshold = 7
 	// guardThreshold is the same for a node's own guard, of which there are many.
 	guardThreshold = 16
 	// stepSuspicion is the strength of evidence against a version from which on it does not get more requests.
