--- a/rollout/verdict_test.go
+++ b/rollout/verdict_test.go
@@ -83,3 +83,13 @@
 	qt.Check(t, exposure <= 1, qt.IsTrue)
 	qt.Check(t, late <= 5*time.Second, qt.IsTrue)
 }
+
+// With a limit of 16 s, the least traffic and the rarest reports, a version that is slow on the rarest route must not be
+// completed. These seeds are.
+func TestVerdictSlowRareRoute(t *testing.T) {
+	for _, seed := range []uint64{171, 673, 954} {
+		s := newSim(seed, simFault{bad: true, slow: 0.4, oneRoute: true, few: true}, 16*time.Second)
+		s.run()
+		qt.Check(t, s.final.Phase(), qt.Equals, PhaseRolledBack)
+	}
+}
