--- a/proxy/authentication_test.go
+++ b/proxy/authentication_test.go
@@ -24,7 +24,7 @@
 	for i := 0; b.Loop(); i++ {
 		r := exchange.NewRequest(http.MethodGet, "/", "a.example", http.Header{"Authorization": {"Bearer " + keys[i%len(keys)][3]}}, nil)
 		q := &request{original: r, snapshot: snapshot, identity: newIdentity("web", r)}
-		if reason, ok := q.authenticate(func(string) bool { return false }); !ok {
+		if reason, ok := q.authenticate(); !ok {
 			b.Fatal(reason)
 		}
 		counts.Begin(q.organisation.name)
