--- a/admission/flow.go
+++ b/admission/flow.go
@@ -114,7 +114,7 @@
 		if c.flow.scan != q.scans {
 			c.flow.scan, c.flow.counted = q.scans, 0
 		}
-		p := place{index: i, tag: l.start(c.flow) + uint64(c.flow.counted)} //nolint:gosec // not negative
+		p := place{index: i, tag: l.start(c.flow) + uint64(c.flow.counted)}
 		c.flow.counted++
 		if !visit(p) {
 			return
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,7 +14,7 @@
 // NewPriority returns a priority. The level goes before the rank.
 func NewPriority(level, rank uint8) Priority { return Priority(level)<<8 | Priority(rank) }
 
-func (p Priority) level() uint8 { return uint8(p >> 8) } //nolint:gosec // at most 255
+func (p Priority) level() uint8 { return uint8(p >> 8) }
 
 // Priorities of idempotent and keyed calls. Package proxy derives its priorities from routes instead.
 const (
--- a/proxy/queueing.go
+++ b/proxy/queueing.go
@@ -34,7 +34,7 @@
 
 // priorityRank returns a rank in the queue, of which the greatest is the most urgent.
 func priorityRank(priority int) uint8 {
-	return uint8(maxPriorityRank - min(max(priority, 0), maxPriorityRank)) //nolint:gosec // at most 15
+	return uint8(maxPriorityRank - min(max(priority, 0), maxPriorityRank))
 }
 
 // latestStart returns the time by which a request must start to run, given the upper bound of its run time. Under
