feed: compute the order of members before it is asked for the leader

The order is computed when it is needed since views may be replaced before that; a decision that arrived before the first one ended the process. TestGuardStopsTheTargetVersion failed with it.

--- a/feed/reading.go
+++ b/feed/reading.go
@@ -206,7 +206,7 @@
 
 // Leader returns the other node whose round arrived last, which probably leads reading, and false if none is known.
 func (m *Machine) Leader() (netip.AddrPort, bool) {
-	for _, other := range m.order.others {
+	for _, other := range m.ordering().others {
 		if other.position == m.lastRoundReader {
 			return other.peer, true
 		}
