command: send the hang-up of a test to a thread

A whole run of the tests beside load ended package command with 'signal: hangup' after all its tests had passed: the signal went to the process, arrived on a thread that had not run for a while, and by then the command had ended and its handler was gone. The test now sends it to its own thread, where it arrives before the call returns.

--- a/command/sidecar_test.go
+++ b/command/sidecar_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"testing"
 
@@ -22,9 +23,18 @@
 	go func() { exit <- command.Run([]string{"sidecar", "--settings", path}, &out, &errOut) }()
 	file, err := os.OpenFile(path, os.O_WRONLY, 0) // returns when the command reads the file
 	c.Assert(err, qt.IsNil)
-	c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+	c.Assert(hangUpCallingThread(), qt.Equals, syscall.Errno(0))
 	_, err = file.WriteString("invalid")
 	c.Assert(err, qt.IsNil)
 	c.Assert(file.Close(), qt.IsNil)
 	c.Assert(<-exit, qt.Equals, command.ExitUsage)
 }
+
+// hangUpCallingThread sends SIGHUP to the calling thread, where it arrives before the call returns. A signal to the process
+// may arrive at any later time, also after the command has ended.
+func hangUpCallingThread() syscall.Errno {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	_, _, errno := syscall.RawSyscall(syscall.SYS_TGKILL, uintptr(os.Getpid()), uintptr(syscall.Gettid()), uintptr(syscall.SIGHUP))
+	return errno
+}
