proxy, control, rollout, feed: mend what the reviews of the new parts found

- proxy: a request whose response would leave too late was refused only while others were running.
A response that is not sent gives its time on the link back.
- proxy: requests with an API key are never nested ones; at most 16 levels of an ID are compared.
- control: a limiter knows the members before a table with quotas is in force.
- feed: a node that has just started does not lead.

--- a/control/quota.go
+++ b/control/quota.go
@@ -33,8 +33,9 @@
 	return quota.LimitOf(o), ok
 }
 
-// setTable applies the quotas of a table, which may be nil.
-func (x *quotaExchange) setTable(table *routing.Table) {
+// setTable applies the quotas of a table, which may be nil. The limiter must know the members before requests are decided
+// on with the table, as it would admit a whole burst at each node otherwise.
+func (x *quotaExchange) setTable(now time.Time, table *routing.Table) {
 	if table == nil || table.Organisations() == x.organisations {
 		return
 	}
@@ -46,6 +47,9 @@
 	for _, o := range x.organisations.Limited() {
 		x.limited[quota.NewID(o.Name())] = o
 	}
+	if len(x.limited) > 0 {
+		x.updateMembers(now)
+	}
 }
 
 func (x *quotaExchange) idle() bool { return len(x.limited) == 0 && x.node.Accounts() == 0 }
--- a/control/rollout.go
+++ b/control/rollout.go
@@ -209,6 +209,9 @@
 	current, known := x.record.Get(now, d.Service())
 	contact := body.Confirmed() && (!known || d.Sequence() >= current.Sequence())
 	if contact {
+		if x.peers[d.Service()].key != from {
+			delete(x.reports, d.Service()) // the new decider has no counts of this node
+		}
 		x.peers[d.Service()] = decidingPeer{key: from, heardAt: now}
 	}
 	out := x.merge(now, d)
--- a/control/sidecar.go
+++ b/control/sidecar.go
@@ -125,7 +125,7 @@
 	c.fleet.SetDigest(message.NewDigest(c.feed.Version(), record.Offset(0), 0))
 	table, view, plans := c.feed.Table(), c.fleet.View(), c.rollouts.update(now)
 	if c.quota != nil {
-		c.quota.setTable(table)
+		c.quota.setTable(now, table)
 	}
 	if table != nil && (c.snapshot == nil || c.snapshot.Table() != table || c.snapshot.View() != view || c.snapshot.Plans() != plans) {
 		c.snapshot = routing.NewSnapshot(table, view).WithPlans(plans)
--- a/feed/reading.go
+++ b/feed/reading.go
@@ -201,7 +201,8 @@
 // stops leading when another node reads the store meanwhile. While the store answers nobody, it goes on.
 func (m *Machine) Leads() bool {
 	overtaken := m.reader.consecutiveFailures > 0 && m.confirmedAt.After(m.reader.succeededAt)
-	return m.announcesUnchanged() && !overtaken
+	starting := m.now.Sub(m.startedAt) < m.settings.SilenceTimeout // a round of a reader with precedence may not have arrived yet
+	return m.announcesUnchanged() && !overtaken && !starting
 }
 
 // Leader returns the other node whose round arrived last, which probably leads reading, and false if none is known.
--- a/proxy/egress.go
+++ b/proxy/egress.go
@@ -39,13 +39,17 @@
 // caller must call release with the returned size at the end of the request. If the request is refused, wait is the time
 // after which it would be admitted.
 func (p *egressPacer) admit(c Call, latest time.Time) (size float64, wait time.Duration, ok bool) {
+	if p.bytesPerSecond == 0 {
+		return 0, 0, true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	size = p.sizes[classOf(c)]
-	if p.bytesPerSecond == 0 || size < largeResponse {
+	if size < largeResponse {
 		return 0, 0, true
 	}
-	if late := p.timers.Now().Add(p.backlog() + p.duration(size)).Sub(latest); late > 0 && p.committed > 0 {
+	backlog := p.backlog()
+	if late := p.timers.Now().Add(backlog + p.duration(size)).Sub(latest); late > 0 && backlog > 0 {
 		return 0, late, false
 	}
 	p.committed += size
@@ -89,15 +93,26 @@
 	select {
 	case <-released:
 	case <-ctx.Done():
+		p.cancel(float64(size))
 	}
 }
 
+// cancel gives back the time on the link of a response that is not sent.
+func (p *egressPacer) cancel(size float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.freeAt = p.freeAt.Add(-p.duration(size))
+}
+
 // schedule reserves the next time on the link for a response and returns the time until then.
 func (p *egressPacer) schedule(c Call, size float64) time.Duration {
+	if p.bytesPerSecond == 0 {
+		return 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sizes[classOf(c)] += responseSizeWeight * (size - p.sizes[classOf(c)])
-	if p.bytesPerSecond == 0 || size < largeResponse {
+	if size < largeResponse {
 		return 0
 	}
 	now := p.timers.Now()
--- a/proxy/egress_test.go
+++ b/proxy/egress_test.go
@@ -14,8 +14,16 @@
 // TestResponsesThatExceedTheLinkAreRefusedAtOnce offers a server twice the responses of 90 kB that its link of 17 Mbit/s
 // carries. It guards against running requests whose responses leave after their target, against a link that is left idle,
 // and against small responses that are refused or delayed with the large ones.
+//
+// Requests that run for less time than their responses take on the link once took no notice of what waits for the link.
 func TestResponsesThatExceedTheLinkAreRefusedAtOnce(t *testing.T) {
-	const linkBytes, size, run, target, span = 17e6 / 8, 90_000, 110 * time.Millisecond, 600 * time.Millisecond, 20 * time.Second
+	for _, run := range []time.Duration{5 * time.Millisecond, 110 * time.Millisecond} {
+		t.Run(run.String(), func(t *testing.T) { checkEgress(t, run) })
+	}
+}
+
+func checkEgress(t *testing.T, run time.Duration) {
+	const linkBytes, size, target, span = 17e6 / 8, 90_000, 600 * time.Millisecond, 20 * time.Second
 	now := time.Unix(1000, 0)
 	start, rnd := now, rand.New(rand.NewPCG(1, 1))
 	p := newEgressPacer(timer.NewWithClock(func() time.Time { return now }), linkBytes)
--- a/proxy/nested.go
+++ b/proxy/nested.go
@@ -34,11 +34,18 @@
 	return r.ids[id] > 0
 }
 
+// maxNesting is the number of levels of requests whose IDs are compared, as callers choose the length of an ID.
+const maxNesting = 16
+
 // IsNested reports whether the server on the VM made the request with the given ID while it was running another one. Only
 // the node of that VM can tell, so that no caller elsewhere is preferred for an ID that looks like one of these.
 func (o *Owner) IsNested(requestID string) bool {
-	for parent, ok := platform.ParentAttempt(requestID); ok; parent, ok = platform.ParentAttempt(parent) {
-		if o.running.contains(parent) {
+	id, ok := requestID, true
+	for range maxNesting {
+		if id, ok = platform.ParentAttempt(id); !ok {
+			return false
+		}
+		if o.running.contains(id) {
 			return true
 		}
 	}
--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -46,6 +46,7 @@
 	}
 	q.organisation = organisation{name: found.Name(), priority: found.Priority()}
 	q.identity.organisation = found.Name()
+	q.nested = false // backend servers send no keys
 	return "", true
 }
 
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -28,6 +28,7 @@
 func (in *Ingress) refuseOverQuota(q *request, organisation routing.Organisation, after time.Duration) *exchange.Response {
 	result := notRun(ReasonQuota)
 	result.retryAfter = after
+	q.ending = result
 	in.settings.AnsweredLog.Info().Str("kind", "request_refused").Str("request", q.id).Str("reason", string(ReasonQuota)).
 		Int("status", http.StatusTooManyRequests).Str("organisation", organisation.Name()).Dur("retry_after", after).
 		Uint64("version", q.tableVersion()).Msg("request over the quota refused")
--- a/rollout/base.go
+++ b/rollout/base.go
@@ -31,9 +31,14 @@
 	if d.Sequence() > b.sequence {
 		b.version, b.sequence, b.lastSeenAt = d.nextBase(), d.Sequence(), now
 	}
-	if b.absent = countVersion(members, b.version) == 0; !b.absent {
+	if ruled := d.nextBase(); ruled != "" && b.version != ruled && countVersion(members, ruled) > 0 {
+		b.version, b.lastSeenAt = ruled, now
+	}
+	absent := countVersion(members, b.version) == 0
+	if !absent || !b.absent {
 		b.lastSeenAt = now
 	}
+	b.absent = absent
 	settling := b.sequence == 0 && now.Sub(b.firstSeenAt) < baseSettlePeriod
 	if b.version == "" || settling || now.Sub(b.lastSeenAt) >= baseAbsencePeriod {
 		if most := commonVersion(members, b.version); most != "" {
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -67,7 +67,7 @@
 	d.desynchronise()
 	d.tickedAt = now
 	for _, r := range d.runs {
-		r.resume()
+		r.resume(now)
 	}
 	return d.Tick(now)
 }
@@ -126,6 +126,7 @@
 		d.informed = d.informed && decision.Sequence() <= d.end
 	}
 	r.adoptHalt(decision)
+	r.adoptAge(now, decision)
 	return nil
 }
 
@@ -164,11 +165,13 @@
 	}
 	d.appending = nil
 	if result != StoreDone {
+		d.runs[a.decision.Service()].triedAt = now
 		d.desynchronise()
 		return d.Tick(now)
 	}
 	d.end = max(d.end, a.end+1)
 	d.adopt(now, a.decision)
+	d.runs[a.decision.Service()].own = true
 	announced := d.runs[a.decision.Service()].announced(now)
 	return append([]Action{Announce{announced}}, d.Tick(now)...)
 }
@@ -244,7 +247,7 @@
 		services = append(services, service)
 	}
 	slices.SortFunc(services, func(a, b string) int {
-		if c := d.runs[a].steppedAt.Compare(d.runs[b].steppedAt); c != 0 {
+		if c := d.runs[a].turnAt().Compare(d.runs[b].turnAt()); c != 0 {
 			return c
 		}
 		return strings.Compare(a, b)
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -20,8 +20,11 @@
 	halt     string // reason to send nothing to the target version any more
 
 	steppedAt   time.Time // when the decision was adopted
+	triedAt     time.Time // when an append failed last
 	announcedAt time.Time // when the halted decision was announced last
 	inFlight    map[member.Key]flight
+	resumedAt   time.Time // when the node began or ceased to lead
+	own         bool      // the node appended the decision while it led: the nodes report to it
 
 	status       status // that was acknowledged last
 	nextStatusAt time.Time
@@ -56,28 +59,42 @@
 	return &run{settings: settings, judge: NewJudge(), inFlight: make(map[member.Key]flight)}
 }
 
+// turnAt returns when the run last had its turn to append.
+func (r *run) turnAt() time.Time {
+	if r.triedAt.After(r.steppedAt) {
+		return r.triedAt
+	}
+	return r.steppedAt
+}
+
 // started reports whether the last decision belongs to the last order.
 func (r *run) started() bool {
 	return r.decision.Sequence() != 0 && r.decision.Order() == r.order.Number()
 }
 
 // resume forgets what the node did when it led before.
-func (r *run) resume() {
+func (r *run) resume(now time.Time) {
+	r.resumedAt, r.own, r.inFlight = now, false, make(map[member.Key]flight)
 	r.status, r.statusFlying = status{}, false
 	r.judge = NewJudge()
 }
 
-// adopt takes over a decision of the store.
-func (r *run) adopt(now time.Time, d Decision) {
+// adoptAge takes over the order of a decision, or an earlier time of it. Ages only ever come out too small.
+func (r *run) adoptAge(now time.Time, d Decision) {
 	if d.Order() > r.order.Number() || d.Order() == r.order.Number() && now.Add(-d.Age()).Before(r.order.At()) {
 		r.order = NewOrder(d.Service(), d.Target(), d.Limit(), d.Order(), now.Add(-d.Age()))
 	}
+}
+
+// adopt takes over a decision of the store.
+func (r *run) adopt(now time.Time, d Decision) {
+	r.adoptAge(now, d)
 	if d.Order() != r.decision.Order() {
 		r.judge, r.halt = NewJudge(), ""
 		r.inFlight = make(map[member.Key]flight)
 	}
-	r.decision, r.steppedAt = d, now
-	if d.Phase() == PhaseShifting {
+	r.decision, r.steppedAt, r.own = d, now, false
+	if d.Phase() == PhaseShifting && len(r.judge.evidence) > 0 { // one that has just taken over has no evidence to doubt
 		r.judge.finish(now)
 	} else {
 		r.judge.mark(now)
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -70,7 +70,7 @@
 	case PhaseRaised:
 		return r.nextAfterRaised(now, s)
 	case PhaseShifting:
-		return r.nextAfterShifting(now)
+		return r.nextAfterShifting(now, s)
 	}
 	return Decision{}, false
 }
@@ -237,12 +237,16 @@
 
 // nextAfterShifting completes the roll-out when no request to the base version is known to be in flight. Nodes that do not
 // report are waited for up to drainTime, and requests that nodes still report until the deadline is near.
-func (r *run) nextAfterShifting(now time.Time) (Decision, bool) {
-	waited := now.Sub(r.steppedAt)
+func (r *run) nextAfterShifting(now time.Time, s situation) (Decision, bool) {
+	waited := min(now.Sub(r.steppedAt), now.Sub(r.resumedAt))
 	if waited < settleTime {
 		return Decision{}, false
 	}
-	silent, inFlight := r.drainage()
+	if countUsable(s.members, r.decision.Target()) == 0 {
+		r.halt = "no server of the target version is ready"
+		return r.end(now, PhaseRolledBack, r.halt), true
+	}
+	silent, inFlight := r.drainage(s.fleet)
 	if (silent && waited < drainTime || inFlight) && r.left(now) > finishTime {
 		return Decision{}, false
 	}
@@ -251,13 +255,15 @@
 
 // drainage reports whether reporters have not yet answered to the last decision, and whether others have requests to the
 // base version in flight.
-func (r *run) drainage() (silent, inFlight bool) {
+func (r *run) drainage(fleet int) (silent, inFlight bool) {
+	heard := 0
 	for _, f := range r.inFlight {
 		if f.sequence < r.decision.Sequence() {
 			silent = true
-		} else if f.requests > 0 {
-			inFlight = true
+			continue
 		}
+		heard++
+		inFlight = inFlight || f.requests > 0
 	}
-	return silent, inFlight
+	return silent || !r.own && heard < fleet, inFlight
 }
