proxy, quota: run simulations of whole fleets in parallel

The simulations in virtual time share nothing; they now run beside each other, with the same seeds, sizes and bounds.

--- a/proxy/crashing_test.go
+++ b/proxy/crashing_test.go
@@ -38,6 +38,7 @@
 }
 
 func TestCrashingRequestsAreStoppedAtAllFleetSizes(t *testing.T) {
+	t.Parallel()
 	fatal := []fatalRequest{
 		{method: http.MethodGet, path: pathCrash},
 		{method: http.MethodPost, path: pathWrite, body: "a"},
@@ -164,6 +165,7 @@
 // TestServersThatCrashForOtherReasonsBlameNoRequest ends a third of the servers every three seconds, beside popular requests
 // and requests that are sent once.
 func TestServersThatCrashForOtherReasonsBlameNoRequest(t *testing.T) {
+	t.Parallel()
 	refused, sent := 0, 0
 	for seed := range *crashSeeds {
 		synctest.Test(t, func(t *testing.T) {
--- a/proxy/fairness_test.go
+++ b/proxy/fairness_test.go
@@ -130,6 +130,7 @@
 // With one flow, the first is seen. At 1.8 times the capacity most organisations ask for more than their fair
 // share, and those that ask for nearly all of it get less than 0.9, as the requests at one server vary.
 func TestLoudOrganisation(t *testing.T) {
+	t.Parallel()
 	for _, load := range []struct{ usual, times, factor, part float64 }{
 		{1.0 / 3, 3, 1.2, 1}, {1.0 / 3, 7.5, 1.8, 1}, {1.0 / 85, 7.5, 1.2, 1}, {1.0 / 85, 7.5, 1.8, 0.8},
 	} {
--- a/proxy/limit_test.go
+++ b/proxy/limit_test.go
@@ -91,6 +91,7 @@
 
 // TestUrgentRequestsComeFirstAtLimitedServers limits all servers of a service to a third of the load.
 func TestUrgentRequestsComeFirstAtLimitedServers(t *testing.T) {
+	t.Parallel()
 	const perSecond = 8
 	synctest.Test(t, func(t *testing.T) {
 		f := newLimitFleet(12, 6, 90*time.Millisecond)
@@ -152,6 +153,7 @@
 }
 
 func TestLimitsAreKeptAtAllFleetSizes(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		nodes   int
 		perNode float64 // offered requests per second
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -381,6 +381,7 @@
 // target; above it, the more urgent classes must come first while most of the capacity stays in use. Round robin without
 // limits must do worse under the same load.
 func TestLatencyTargetsUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, load := range []struct {
 		factor float64   // of the capacity
 		least  []float64 // share answered within the target, by class
@@ -403,6 +404,7 @@
 // TestReturningCallersYieldUnderOverload simulates load above capacity, in which refused callers come back once. Compared
 // with treating them as new, more callers must get their answer within the target, without fewer getting one at all.
 func TestReturningCallersYieldUnderOverload(t *testing.T) {
+	t.Parallel()
 	for _, factor := range []float64{1.1, 1.6} {
 		ours, forgetful := newLoadSimulation(false, 1), newLoadSimulation(false, 1)
 		forgetful.forgetful = true
@@ -427,6 +429,7 @@
 // ones can't answer before the deadline, more callers must be answered than if only ended requests were observed. If they
 // can, or if there are no others, callers must not lose by being kept away from them.
 func TestSlowServersAreRelieved(t *testing.T) {
+	t.Parallel()
 	for _, spell := range []struct {
 		servers int
 		factor  float64
--- a/proxy/rollout_test.go
+++ b/proxy/rollout_test.go
@@ -13,6 +13,7 @@
 // TestGoodVersionIsCompleted guards against a good version that is not completed in time, and against requests that reach an
 // old server when it may have stopped already.
 func TestGoodVersionIsCompleted(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newRolloutFleet(0)
 		defer f.closeAll()
@@ -29,6 +30,7 @@
 
 // TestBadVersionIsRolledBack guards against a failing version that gets more than its permitted exposure or is completed.
 func TestBadVersionIsRolledBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newRolloutFleet(0.4)
 		defer f.closeAll()
@@ -46,6 +48,7 @@
 // TestRolloutGoesOnWithoutItsDecider guards against a roll-out that stops or starts again when the deciding node dies in the
 // canary phase.
 func TestRolloutGoesOnWithoutItsDecider(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newRolloutFleet(0)
 		defer f.closeAll()
@@ -91,6 +94,7 @@
 // just taken the place of an old server, and from a node that starts during a canary phase and knows the decision from other
 // nodes only.
 func TestVersionsWithoutDecisionGetNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newRolloutFleet(0)
 		defer f.closeAll()
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -359,6 +359,7 @@
 	for _, n := range []int{12, 86} {
 		for i, sc := range scenarios {
 			t.Run(fmt.Sprint(n, " ", sc.name), func(t *testing.T) {
+				t.Parallel()
 				o := sc.run(uint64(i), n)
 				t.Logf("%+.3f", o)
 				qt.Check(t, o.excess <= 1, qt.IsTrue)
