operator, proxy, routing: one reader of the metrics port, and no second look-up of organisations

The clients for quarantined requests, roll-outs and organisations each read and decoded the metrics port by themselves; metricsPort does it now. A request kept the name of its organisation and looked the organisation up again for the quota; it keeps what authentication found, and ByName is gone. The quota's list of organisations moves beside their type. Behaviour is the same.

--- a/operator/organisation.go
+++ b/operator/organisation.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"net/netip"
 
-	"github.com/samber/oops"
-
 	"github.com/bambooknot/bambooknot/usage"
 )
 
@@ -43,14 +41,9 @@
 
 // List returns the requests of the loudest organisations, and the sum of the others.
 func (c *OrganisationClient) List(ctx context.Context) ([]usage.Row, error) {
-	resp, err := c.port.do(ctx, http.MethodGet, OrganisationsPath)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
 	var rows []organisationJSON
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBody)).Decode(&rows); err != nil {
-		return nil, oops.In(c.port.step).With("peer", c.port.address).Wrap(err)
+	if err := c.port.get(ctx, OrganisationsPath, &rows); err != nil {
+		return nil, err
 	}
 	var list []usage.Row
 	for _, r := range rows {
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -74,14 +74,9 @@
 
 // List returns the contents that are quarantined.
 func (c *QuarantineClient) List(ctx context.Context) ([]QuarantinedContent, error) {
-	resp, err := c.port.do(ctx, http.MethodGet, QuarantinePath)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
 	var rows []quarantinedContentJSON
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBody)).Decode(&rows); err != nil {
-		return nil, oops.In("operator.quarantine").With("peer", c.port.address).Wrap(err)
+	if err := c.port.get(ctx, QuarantinePath, &rows); err != nil {
+		return nil, err
 	}
 	var contents []QuarantinedContent
 	for _, r := range rows {
@@ -92,11 +87,7 @@
 
 // Release releases a content, given in hexadecimal digits, on all nodes.
 func (c *QuarantineClient) Release(ctx context.Context, content string) error {
-	resp, err := c.port.do(ctx, http.MethodPost, ReleasePath+"?"+url.Values{ContentParameter: {content}}.Encode())
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
+	return c.port.post(ctx, ReleasePath+"?"+url.Values{ContentParameter: {content}}.Encode())
 }
 
 // metricsPort sends requests to the metrics port of one node. Errors carry the step.
@@ -106,6 +97,27 @@
 	httpClient *http.Client
 }
 
+// get decodes the JSON that a path serves.
+func (p metricsPort) get(ctx context.Context, path string, into any) error {
+	resp, err := p.do(ctx, http.MethodGet, path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBody)).Decode(into); err != nil {
+		return oops.In(p.step).With("peer", p.address).Wrap(err)
+	}
+	return nil
+}
+
+func (p metricsPort) post(ctx context.Context, path string) error {
+	resp, err := p.do(ctx, http.MethodPost, path)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 func (p metricsPort) do(ctx context.Context, method, path string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.address.String()+path, nil)
 	if err != nil {
--- a/operator/rollout.go
+++ b/operator/rollout.go
@@ -8,8 +8,6 @@
 	"net/netip"
 	"net/url"
 	"time"
-
-	"github.com/samber/oops"
 )
 
 // RolloutsPath is the path of the roll-outs on a sidecar's metrics port, and HaltPath the one to which the halt of one of
@@ -86,14 +84,9 @@
 
 // List returns the last roll-out of each service.
 func (c *RolloutClient) List(ctx context.Context) ([]RolloutFields, error) {
-	resp, err := c.port.do(ctx, http.MethodGet, RolloutsPath)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
 	var rows []rolloutJSON
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBody)).Decode(&rows); err != nil {
-		return nil, oops.In("operator.rollouts").With("peer", c.port.address).Wrap(err)
+	if err := c.port.get(ctx, RolloutsPath, &rows); err != nil {
+		return nil, err
 	}
 	var all []RolloutFields
 	for _, r := range rows {
@@ -110,9 +103,5 @@
 
 // Halt halts the roll-out of a service on all nodes.
 func (c *RolloutClient) Halt(ctx context.Context, service string) error {
-	resp, err := c.port.do(ctx, http.MethodPost, HaltPath+"?"+url.Values{ServiceParameter: {service}}.Encode())
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
+	return c.port.post(ctx, HaltPath+"?"+url.Values{ServiceParameter: {service}}.Encode())
 }
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -147,8 +147,8 @@
 		result.retryAfter = s.retryAfter(now)
 		return in.giveUp(q, result), q
 	}
-	if organisation, known := q.sender(); known {
-		if refusal, admitted := in.admitOrganisation(q, organisation); !admitted {
+	if q.organisation.name != "" {
+		if refusal, admitted := in.admitOrganisation(q, q.sender); !admitted {
 			return refusal, q
 		}
 	}
@@ -167,8 +167,9 @@
 	firstReceivedAt     time.Time // of the caller's first attempt; before receivedAt if this is a retry
 	snapshot            *routing.Snapshot
 	route               routing.Route
-	organisation        organisation // that sent the request; the zero value if none did
-	ending              Result       // of the last attempt, once it is known
+	sender              routing.Organisation // in the table of the request; the zero value if none sent it
+	organisation        organisation         // that sent the request; the zero value if none did
+	ending              Result               // of the last attempt, once it is known
 	service             string
 	version             versionChoice
 	timeout             time.Duration // from receipt to deadline
--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bambooknot/bambooknot/platform"
-	"github.com/bambooknot/bambooknot/routing"
 )
 
 // organisation is what nodes tell each other of the organisation that sent a request.
@@ -44,20 +43,12 @@
 	if !known {
 		return reasonUnknownKey, false
 	}
-	q.organisation = organisation{name: found.Name(), priority: found.Priority()}
+	q.sender, q.organisation = found, organisation{name: found.Name(), priority: found.Priority()}
 	q.identity.organisation = found.Name()
 	q.nested = false // backend servers send no keys
 	return "", true
 }
 
-// sender returns the organisation that sent an authenticated request, if it needed a key.
-func (q *request) sender() (routing.Organisation, bool) {
-	if q.organisation.name == "" {
-		return routing.Organisation{}, false
-	}
-	return q.snapshot.Table().Organisations().ByName(q.organisation.name)
-}
-
 // encode returns the form that a request between nodes carries: the priority and the name.
 func (o organisation) encode() string {
 	return strconv.Itoa(o.priority) + ":" + url.QueryEscape(o.name)
--- a/routing/organisation.go
+++ b/routing/organisation.go
@@ -91,11 +91,16 @@
 	return *t, true
 }
 
-// ByName returns the organisation with the given name.
-func (s *Organisations) ByName(name string) (Organisation, bool) {
-	t, ok := s.byName[name]
-	return t, ok
-}
-
 // Len returns the number of organisations.
 func (s *Organisations) Len() int { return len(s.byName) }
+
+// Limited returns the organisations that have a quota, in no particular order.
+func (s *Organisations) Limited() []Organisation {
+	var limited []Organisation
+	for _, o := range s.byName {
+		if o.Limited() {
+			limited = append(limited, o)
+		}
+	}
+	return limited
+}
