lab, proxy: model servers and callers in a package that load tests share

Cause: the load tests of package proxy had a model of servers, callers and virtual time in a test file, which tests of other decisions could not use. Change: package lab holds virtual time, servers with slots, speeds, slower times and shedding, classes of requests, arrivals and a tally of what callers got. TestLatencyTargetsUnderLoad and the tests beside it run on it; the same seeds and bounds.

--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"github.com/bambooknot/bambooknot/admission"
 	"github.com/bambooknot/bambooknot/balance"
 	"github.com/bambooknot/bambooknot/exchange"
+	"github.com/bambooknot/bambooknot/lab"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/record"
 	"github.com/bambooknot/bambooknot/routing"
@@ -30,54 +30,33 @@
 
 var loadSlowdowns = []float64{0.6, 1, 1.4} // factors of the run times
 
-// loadClass is a class of requests.
-type loadClass struct {
-	priority int
-	share    float64 // of all requests
-	runTime  time.Duration
-	target   time.Duration
-	deadline time.Duration
-}
-
-var loadClasses = []loadClass{
-	{priority: 0, share: 0.2, runTime: 150 * time.Millisecond, target: 500 * time.Millisecond, deadline: 1200 * time.Millisecond},
-	{priority: 1, share: 0.25, runTime: 290 * time.Millisecond, target: 800 * time.Millisecond, deadline: 2 * time.Second},
-	{priority: 2, share: 0.55, runTime: 220 * time.Millisecond, target: 800 * time.Millisecond, deadline: 2 * time.Second},
+var loadClasses = lab.Load{
+	{Priority: 0, Share: 0.2, RunTime: 150 * time.Millisecond, Target: 500 * time.Millisecond, Deadline: 1200 * time.Millisecond},
+	{Priority: 1, Share: 0.25, RunTime: 290 * time.Millisecond, Target: 800 * time.Millisecond, Deadline: 2 * time.Second},
+	{Priority: 2, Share: 0.55, RunTime: 220 * time.Millisecond, Target: 800 * time.Millisecond, Deadline: 2 * time.Second},
 }
 
 // loadSimulation runs requests in virtual time through the decisions of ingresses and owners.
 type loadSimulation struct {
-	rnd        *rand.Rand
-	now        time.Time
-	events     loadEvents
+	*lab.World
 	indexes    map[member.Key]int // of the servers
 	delays     [loadServers][loadServers]time.Duration
 	view       *member.View
 	owners     []*loadOwner
 	balancers  []*balance.Machine
-	roundRobin bool // baseline: round robin without limits
-	forgetful  bool // baseline: retries of callers are treated as new requests
-	paceless   bool // baseline: nothing is learned from requests that have not ended
-	slowSpell  *slowSpell
+	roundRobin bool         // baseline: round robin without limits
+	forgetful  bool         // baseline: retries of callers are treated as new requests
+	paceless   bool         // baseline: nothing is learned from requests that have not ended
 	senders    *loadSenders // nil for requests without organisations
 	lastServer int
-	inTime     []float64 // requests answered within the target, by class
-	answered   []float64 // requests answered within the deadline, by class
-	requests   []float64 // by class
-}
-
-// slowSpell is a time in which some servers are slower than usual.
-type slowSpell struct {
-	start, end time.Time
-	servers    int     // the first ones
-	factor     float64 // of the run times
+	tally      *lab.Tally
 }
 
 type loadOwner struct {
 	pace     *paceMonitor
 	queue    *admission.Queue
 	runTimes *runTimeEstimator
-	slowdown float64
+	server   *lab.Server
 	lastID   admission.ID
 	waiting  map[admission.ID]*loadRequest
 }
@@ -97,8 +76,7 @@
 
 func newLoadSimulation(roundRobin bool, seed uint64) *loadSimulation {
 	s := &loadSimulation{
-		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), roundRobin: roundRobin,
-		indexes: make(map[member.Key]int), inTime: make([]float64, len(loadClasses)), answered: make([]float64, len(loadClasses)), requests: make([]float64, len(loadClasses)),
+		World: lab.NewWorld(time.Unix(1000, 0), seed), roundRobin: roundRobin, indexes: make(map[member.Key]int), tally: lab.NewTally(loadClasses),
 	}
 	places := []member.Place{member.NewPlace("a", "a1"), member.NewPlace("b", "b1"), member.NewPlace("a", "a2"), member.NewPlace("b", "b2")}
 	var members []member.Member
@@ -111,8 +89,8 @@
 			settings = admission.Settings{QueueLimit: math.MaxInt, MaxWait: time.Hour}
 		}
 		s.owners = append(s.owners, &loadOwner{
-			queue: admission.NewQueue(settings, loadSlots), runTimes: newRunTimeEstimator(), pace: newPaceMonitor(timer.NewWithClock(func() time.Time { return s.now }), func(float64) {}),
-			slowdown: loadSlowdowns[i/len(places)%len(loadSlowdowns)], waiting: make(map[admission.ID]*loadRequest),
+			queue: admission.NewQueue(settings, loadSlots), runTimes: newRunTimeEstimator(), pace: newPaceMonitor(timer.NewWithClock(s.Now), func(float64) {}),
+			server: lab.NewServer(loadSlots, loadSlowdowns[i/len(places)%len(loadSlowdowns)]), waiting: make(map[admission.ID]*loadRequest),
 		})
 		s.balancers = append(s.balancers, balance.New(balance.Settings{CrossRegionBackoff: 500 * time.Millisecond}, key, m.Place(), rand.New(rand.NewPCG(seed, uint64(i)))))
 	}
@@ -120,7 +98,7 @@
 	for i, from := range members {
 		s.indexes[from.Key()] = i
 		for j, to := range members {
-			s.delays[i][j] = networkDelay(from.Place(), to.Place())
+			s.delays[i][j] = lab.Delay(from.Place(), to.Place())
 		}
 	}
 	return s
@@ -129,49 +107,34 @@
 // run offers load at a multiple of the capacity of all servers and returns the share of each class that was answered
 // within its target.
 func (s *loadSimulation) run(loadFactor float64) []float64 {
-	work, capacity := 0.0, 0.0
-	for _, c := range loadClasses {
-		work += c.share * c.runTime.Seconds()
-	}
-	for _, o := range s.owners {
-		capacity += loadSlots / (work * o.slowdown)
-	}
-	start, interval := s.now, time.Duration(float64(time.Second)/(capacity*loadFactor))
-	for at := start; at.Before(start.Add(loadDuration)); at = at.Add(time.Duration(s.rnd.ExpFloat64() * float64(interval))) {
-		s.schedule(at, func() {
-			s.arrive(&loadRequest{class: s.drawClass(), startedAt: s.now, caller: s.rnd.IntN(loadServers), sender: s.senders.draw(s.rnd)}, start)
-		})
-	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(loadEvent)
-		s.now = e.at
-		e.do()
-	}
+	start := s.Now()
+	s.Arrive(loadClasses.Capacity(s.servers())*loadFactor, loadDuration, func() {
+		s.arrive(&loadRequest{class: loadClasses.Draw(s.Rand()), startedAt: s.Now(), caller: s.Rand().IntN(loadServers), sender: s.senders.draw(s.Rand())}, start)
+	})
+	s.Run()
 	shares := make([]float64, len(loadClasses))
 	for i := range shares {
-		shares[i] = s.inTime[i] / s.requests[i]
+		shares[i] = s.tally.InTime(i)
 	}
 	return shares
 }
 
-func (s *loadSimulation) drawClass() int {
-	remaining := s.rnd.Float64()
-	for i, c := range loadClasses {
-		if remaining -= c.share; remaining < 0 {
-			return i
-		}
+func (s *loadSimulation) servers() []*lab.Server {
+	var servers []*lab.Server
+	for _, o := range s.owners {
+		servers = append(servers, o.server)
 	}
-	return len(loadClasses) - 1
+	return servers
 }
 
 func (s *loadSimulation) arrive(q *loadRequest, start time.Time) {
-	if s.now.Sub(start) >= loadWarmUp {
-		s.requests[q.class]++
+	if s.Now().Sub(start) >= loadWarmUp {
+		s.tally.Request(q.class)
 		s.senders.request(q, start)
 	} else {
 		q.retries = -1 // not counted
 	}
-	q.attemptedAt = s.now
+	q.attemptedAt = s.Now()
 	s.try(q)
 }
 
@@ -185,7 +148,7 @@
 	q.owner = s.indexes[key]
 	s.balancers[q.caller].RecordStart(key)
 	q.tried = append(q.tried, key)
-	s.after(s.networkDelay(q), func() { s.offer(q) })
+	s.After(s.networkDelay(q), func() { s.offer(q) })
 }
 
 func (s *loadSimulation) choose(q *loadRequest) (member.Key, bool) {
@@ -196,7 +159,7 @@
 	if len(q.tried) == maxNodesTried {
 		return member.Key{}, false
 	}
-	m, ok := s.balancers[q.caller].Choose(s.now, s.view, "s", q.tried)
+	m, ok := s.balancers[q.caller].Choose(s.Now(), s.view, "s", q.tried)
 	return m.Key(), ok
 }
 
@@ -205,31 +168,21 @@
 	return s.delays[q.caller][q.owner]
 }
 
-func networkDelay(from, to member.Place) time.Duration {
-	switch {
-	case from == to:
-		return 200 * time.Microsecond
-	case from.Region() == to.Region():
-		return 900 * time.Microsecond
-	}
-	return 20 * time.Millisecond
-}
-
 func (s *loadSimulation) call(q *loadRequest) Call {
 	c := loadClasses[q.class]
 	firstReceivedAt := q.startedAt
 	if s.forgetful {
 		firstReceivedAt = q.attemptedAt
 	}
-	return Call{kind: routing.KindUnsafe, priority: c.priority, timeLeft: q.startedAt.Add(c.deadline).Sub(s.now), timeToTarget: firstReceivedAt.Add(c.target).Sub(s.now)}
+	return Call{kind: routing.KindUnsafe, priority: c.Priority, timeLeft: q.startedAt.Add(c.Deadline).Sub(s.Now()), timeToTarget: firstReceivedAt.Add(c.Target).Sub(s.Now())}
 }
 
 func (s *loadSimulation) offer(q *loadRequest) {
 	o, c := s.owners[q.owner], s.call(q)
-	q.offeredAt = s.now
-	latest := latestStart(s.now, c, o.runTimes.upperBound(c))
+	q.offeredAt = s.Now()
+	latest := latestStart(s.Now(), c, o.runTimes.upperBound(c))
 	if s.roundRobin {
-		latest = s.now.Add(time.Hour)
+		latest = s.Now().Add(time.Hour)
 	} else if cannotFinish(c, o.runTimes.lowerBound(c)) {
 		s.deliver(q, notRun(ReasonDeadlineExceeded))
 		return
@@ -247,14 +200,14 @@
 	if s.roundRobin {
 		priority = 0
 	}
-	decision, change := o.queue.OfferFlow(s.now, o.lastID, s.senders.flow(q), priority, latest)
+	decision, change := o.queue.OfferFlow(s.Now(), o.lastID, s.senders.flow(q), priority, latest)
 	switch decision {
 	case admission.DecisionRun:
 		s.startCall(o, o.lastID)
 	case admission.DecisionRefuse:
 		s.deliverRefusal(o, o.lastID)
 	default:
-		s.schedule(latest, func() { s.applyChange(o, o.queue.Expire(s.now)) })
+		s.At(latest, func() { s.applyChange(o, o.queue.Expire(s.Now())) })
 	}
 	s.applyChange(o, change)
 }
@@ -272,25 +225,21 @@
 func (s *loadSimulation) deliverRefusal(o *loadOwner, id admission.ID) {
 	q := o.waiting[id]
 	delete(o.waiting, id)
-	s.senders.refuse(s.now.Sub(q.offeredAt))
+	s.senders.refuse(s.Now().Sub(q.offeredAt))
 	r := notRun(ReasonFull)
-	r.retryAfter = retryDelay(expectedSlotWait(o.queue.Queued(), loadSlots, loadClasses[q.class].runTime), o.queue.RateWait(s.now))
+	r.retryAfter = retryDelay(expectedSlotWait(o.queue.Queued(), loadSlots, loadClasses[q.class].RunTime), o.queue.RateWait(s.Now()))
 	s.deliver(q, r)
 }
 
 func (s *loadSimulation) startCall(o *loadOwner, id admission.ID) {
 	q := o.waiting[id]
 	delete(o.waiting, id)
-	work := loadClasses[q.class].runTime.Seconds() * o.slowdown * (0.7 + 0.6*s.rnd.Float64())
-	if spell := s.slowSpell; spell != nil && q.owner < spell.servers && !s.now.Before(spell.start) && s.now.Before(spell.end) {
-		work *= spell.factor
-	}
-	runTime := time.Duration(work * float64(time.Second))
+	runTime := o.server.RunTime(s.Rand(), s.Now(), loadClasses[q.class])
 	paced := o.pace.start(s.call(q), q.probe)
-	s.after(runTime, func() {
+	s.After(runTime, func() {
 		o.pace.finish(paced, true)
 		o.runTimes.observe(s.call(q), runTime)
-		s.applyChange(o, o.queue.Release(s.now))
+		s.applyChange(o, o.queue.Release(s.Now()))
 		s.deliver(q, answered(exchange.NewResponse(200, nil, nil)))
 	})
 }
@@ -302,11 +251,11 @@
 	if !s.paceless {
 		r.load = paceLoad(o.queue.Running(), o.queue.Queued(), o.pace.current())
 	}
-	latency := s.now.Sub(q.attemptedAt)
-	s.after(s.networkDelay(q), func() {
+	latency := s.Now().Sub(q.attemptedAt)
+	s.After(s.networkDelay(q), func() {
 		key, caller := q.tried[len(q.tried)-1], s.balancers[q.caller]
-		caller.RecordLoad(s.now, key, r.load)
-		caller.RecordEnd(s.now, key, balanceResult(r))
+		caller.RecordLoad(s.Now(), key, r.load)
+		caller.RecordEnd(s.Now(), key, balanceResult(r))
 		if r.outcome != OutcomeAnswered {
 			s.retryElsewhere(q, r)
 			return
@@ -320,12 +269,7 @@
 	if q.retries < 0 {
 		return
 	}
-	latency := s.now.Sub(q.startedAt)
-	if latency <= loadClasses[q.class].target {
-		s.inTime[q.class]++
-	}
-	if latency <= loadClasses[q.class].deadline {
-		s.answered[q.class]++
+	if s.tally.Answer(q.class, s.Now().Sub(q.startedAt)) {
 		s.senders.answer(q)
 	}
 }
@@ -340,43 +284,17 @@
 
 // refuseCaller refuses a request. The caller retries it once if the Retry-After time is at most a third of its time left.
 func (s *loadSimulation) refuseCaller(q *loadRequest, retryAfter time.Duration) {
-	timeLeft := q.startedAt.Add(loadClasses[q.class].deadline).Sub(s.now)
+	timeLeft := q.startedAt.Add(loadClasses[q.class].Deadline).Sub(s.Now())
 	if q.retries != 0 || retryAfter > timeLeft/3 {
 		return
 	}
 	q.retries, q.tried = 1, nil
-	s.after(retryAfter, func() {
-		q.attemptedAt = s.now
+	s.After(retryAfter, func() {
+		q.attemptedAt = s.Now()
 		s.try(q)
 	})
 }
 
-func (s *loadSimulation) after(d time.Duration, do func()) { s.schedule(s.now.Add(d), do) }
-
-func (s *loadSimulation) schedule(t time.Time, do func()) {
-	heap.Push(&s.events, loadEvent{at: t, do: do})
-}
-
-type loadEvent struct {
-	at time.Time
-	do func()
-}
-
-// loadEvents is a heap of events ordered by time.
-type loadEvents []loadEvent
-
-func (a loadEvents) Len() int           { return len(a) }
-func (a loadEvents) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a loadEvents) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *loadEvents) Push(e any)        { *a = append(*a, e.(loadEvent)) }
-
-// Pop implements heap.Interface.
-func (a *loadEvents) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // TestLatencyTargetsUnderLoad simulates load below and above capacity. Below capacity, nearly all requests must meet their
 // target; above it, the more urgent classes must come first while most of the capacity stays in use. Round robin without
 // limits must do worse under the same load.
@@ -410,18 +328,10 @@
 		forgetful.forgetful = true
 		ours.run(factor)
 		forgetful.run(factor)
-		var inTime, answered, requests, forgetfulInTime, forgetfulAnswered float64
-		for class := range loadClasses {
-			inTime += ours.inTime[class]
-			answered += ours.answered[class]
-			requests += ours.requests[class]
-			forgetfulInTime += forgetful.inTime[class]
-			forgetfulAnswered += forgetful.answered[class]
-		}
 		t.Logf("%.1f times the capacity: %.3f in time, %.3f answered; as new requests: %.3f and %.3f", factor,
-			inTime/requests, answered/requests, forgetfulInTime/requests, forgetfulAnswered/requests)
-		qt.Check(t, inTime > forgetfulInTime, qt.IsTrue)
-		qt.Check(t, answered >= 0.99*forgetfulAnswered, qt.IsTrue)
+			ours.tally.AllInTime(), ours.tally.AllAnswered(), forgetful.tally.AllInTime(), forgetful.tally.AllAnswered())
+		qt.Check(t, ours.tally.AllInTime() > forgetful.tally.AllInTime(), qt.IsTrue)
+		qt.Check(t, ours.tally.AllAnswered() >= 0.99*forgetful.tally.AllAnswered(), qt.IsTrue)
 	}
 }
 
@@ -452,12 +362,9 @@
 func answeredInSlowSpell(servers int, factor float64, paceless bool) float64 {
 	s := newLoadSimulation(false, 1)
 	s.paceless = paceless
-	s.slowSpell = &slowSpell{start: s.now.Add(6 * time.Second), end: s.now.Add(12 * time.Second), servers: servers, factor: factor}
-	s.run(0.65)
-	answered, requests := 0.0, 0.0
-	for class := range loadClasses {
-		answered += s.answered[class]
-		requests += s.requests[class]
+	for _, o := range s.owners[:servers] {
+		o.server.AddSpell(s.Now().Add(6*time.Second), s.Now().Add(12*time.Second), factor)
 	}
-	return answered / requests
+	s.run(0.65)
+	return s.tally.AllAnswered()
 }
