--- a/node/heartbeathandler.go
+++ b/node/heartbeathandler.go
@@ -159,7 +159,7 @@
 	if !ok || sameServer(h, hh.lastNotified) {
 		return
 	}
-	hh.log.Info().Str("kind", "server_changed").Str("server", h.ID).Str("service", h.Server.Service()).Stringer("state", h.Server.State()).
+	hh.log.Info().Str("kind", "server_changed").Str("server", h.ID).Str("service", h.Server.Service()).Int("slots", h.Server.Slots()).Stringer("state", h.Server.State()).
 		Stringer("before", hh.lastNotified.Server.State()).Stringer("address", h.Address).Int64("started", h.Started).Int64("sequence", h.Sequence).
 		Msg("backend server changed")
 	hh.lastNotified = h
