balance, exchange, proxy: avoid nodes that do not answer after the first attempt

Within 2.5 s, 638 attempts waited 0.5 s each for a connection to a VM that was gone; a server was avoided after three of them, and other nodes knew of it after 1.5 to 2.5 s. Change: a connection within the region has 0.2 s to open, and a server whose node did not answer gets no request for 1 s, however many of them there are. A refused connection counts as before, and so does a time-out while all nodes start.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	rateMaxAge          = 2 * time.Second        // age at which a reported limit of the calls per second no longer counts
 	defaultRunTime      = 100 * time.Millisecond // run time of calls that is assumed before the first answer
 	drainBackoff        = 5 * time.Second        // time for which a draining server is avoided
+	unreachableBackoff  = time.Second            // the same for a server whose node can't be reached
 	randomChoices       = 2
 	latencySampleWeight = 1.0 / 16 // weight of one sample in the moving averages of latency
 	maxRelativeLatency  = 4.0      // limit of the ratio of a server's latency to its service's, and of its inverse
@@ -91,6 +92,7 @@
 	ejectedUntil         time.Time
 	refusalBackoffUntil  time.Time
 	drainBackoffUntil    time.Time
+	unreachableUntil     time.Time
 	rate                 float64 // calls per second that the server accepts from all nodes together; 0 for no limit
 	rateReportedAt       time.Time
 	readySince           time.Time // zero if the server was ready when first seen
@@ -230,7 +232,7 @@
 }
 
 func (t *target) usable(now time.Time, tried []member.Key) bool {
-	return t.ready && !now.Before(t.ejectedUntil) && !now.Before(t.drainBackoffUntil) && !slices.Contains(tried, t.member.Key())
+	return t.ready && !now.Before(t.ejectedUntil) && !now.Before(t.drainBackoffUntil) && !now.Before(t.unreachableUntil) && !slices.Contains(tried, t.member.Key())
 }
 
 // full reports whether another call would have to wait at the server.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -332,3 +332,29 @@
 		qt.Assert(t, got.Key(), qt.Equals, key(1), qt.Commentf("result %d", result))
 	}
 }
+
+// TestUnreachableServerIsAvoidedAtOnce guards requests of a node while VMs lose power: each attempt at one of them waits for a
+// time-out, so a second one must go elsewhere, also if more servers are gone than may be ejected.
+func TestUnreachableServerIsAvoidedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	var members []member.Member
+	gone := make(map[member.Key]bool)
+	for i := range 8 {
+		members = append(members, ready(i+1, here))
+		gone[key(i+1)] = i < 5
+	}
+	view, m, inVain := viewOf(members...), newMachine(), 0
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		to, ok := m.Choose(now, view, "orders", nil)
+		c.Assert(ok, qt.IsTrue)
+		m.RecordStart(to.Key())
+		result := ResultAnswered
+		if gone[to.Key()] {
+			result = ResultUnreachable
+			inVain++
+		}
+		m.RecordEnd(now, to.Key(), result)
+	}
+	c.Assert(inVain <= 5, qt.IsTrue, qt.Commentf("%d attempts in vain", inVain))
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -69,7 +69,7 @@
 	ready := mem.Server().State() == member.ServerReady && mem.Health() <= member.HealthSuspect
 	if ready && !t.ready && !first {
 		t.readySince = now
-		t.drainBackoffUntil, t.ejectedUntil = time.Time{}, time.Time{} // what was seen before concerns the server's last process
+		t.drainBackoffUntil, t.ejectedUntil, t.unreachableUntil = time.Time{}, time.Time{}, time.Time{} // what was seen before concerns the server's last process
 	}
 	t.ready = ready
 	t.member = mem
--- a/balance/report.go
+++ b/balance/report.go
@@ -33,9 +33,12 @@
 	// ResultDraining means that the server accepts no new calls of the service: it is draining, not ready, gone or
 	// replaced by a server of another service.
 	ResultDraining
-	// ResultFailed means that the server or its node was unreachable, closed the connection or did not answer in time.
+	// ResultFailed means that the server or its node closed the connection or did not answer in time.
 	// Package proxy also uses it for answers with a status of 500 or above.
 	ResultFailed
+	// ResultUnreachable means that no connection to the server or its node could be opened. The server gets no further calls
+	// for a moment, as each one to a VM that is gone waits for a time-out.
+	ResultUnreachable
 	// ResultNone means that the call says nothing about the server, for example because the caller disconnected.
 	ResultNone
 )
@@ -78,6 +81,9 @@
 		t.refusalBackoffUntil = now.Add(m.refusalBackoff(t))
 	case ResultDraining:
 		t.drainBackoffUntil = now.Add(drainBackoff)
+	case ResultUnreachable:
+		t.unreachableUntil = now.Add(unreachableBackoff)
+		return m.recordFailure(now, t)
 	case ResultFailed:
 		return m.recordFailure(now, t)
 	}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -54,6 +54,8 @@
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
+	// DialTimeoutTo returns the limit for a peer; nil means DialTimeout for all.
+	DialTimeoutTo func(peer netip.AddrPort) time.Duration
 	// IdleTimeout is how long an idle connection stays open, unless the peer states a shorter time.
 	IdleTimeout time.Duration
 	// MaxIdlePerPeer is the maximum number of idle connections to one peer.
@@ -137,7 +139,7 @@
 	if c := p.popIdle(to); c != nil {
 		return c, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout(to))
 	defer cancel()
 	conn, err := p.settings.Dial(ctx, to)
 	if err != nil {
@@ -158,6 +160,13 @@
 	return c, nil
 }
 
+func (p *Pool) dialTimeout(to netip.AddrPort) time.Duration {
+	if p.settings.DialTimeoutTo == nil {
+		return p.settings.DialTimeout
+	}
+	return p.settings.DialTimeoutTo(to)
+}
+
 func (p *Pool) popIdle(to netip.AddrPort) *clientConn {
 	now := p.settings.Timers.Now()
 	p.mu.Lock()
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -100,7 +100,10 @@
 
 // Connections to other nodes.
 const (
-	peerDialTimeout  = 500 * time.Millisecond // a connection and its hello take two round trips, 80 ms each between regions
+	peerDialTimeout = 500 * time.Millisecond // a connection and its hello take two round trips, 80 ms each between regions
+	// nearDialTimeout is the same within a region, where a round trip takes 2 ms. It is above the 100 ms for which a VM may get no
+	// CPU time.
+	nearDialTimeout  = 200 * time.Millisecond
 	peerIdleTimeout  = 30 * time.Second
 	maxIdlePerPeer   = 64
 	maxPeerBodyBytes = 64 << 20
@@ -130,15 +133,16 @@
 		Quarantine: n.quarantine.load, OnCrash: n.quarantine.onCrash, OnCleared: n.quarantine.onCleared, OnTrial: n.quarantine.onTrial,
 	})
 	n.ingress = proxy.NewIngress(proxy.IngressSettings{
-		Self:       self.Key(),
-		Place:      s.Place(),
-		Snapshot:   n.snapshot.Load,
-		Service:    func() string { return n.settings.Load().Service() },
-		Owner:      n.owner,
-		Quarantine: n.quarantine.load,
-		Quota:      n.quota.admit,
-		Versions:   n.versions,
-		Pool:       exchange.PoolSettings{Dial: dialer.DialCalls, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerPeer: maxIdlePerPeer, MaxHeaderBytes: maxPeerHeaderBytes, MaxBodyBytes: maxPeerBodyBytes, Budget: bodies},
+		Self:            self.Key(),
+		Place:           s.Place(),
+		Snapshot:        n.snapshot.Load,
+		Service:         func() string { return n.settings.Load().Service() },
+		Owner:           n.owner,
+		Quarantine:      n.quarantine.load,
+		Quota:           n.quota.admit,
+		Versions:        n.versions,
+		Pool:            exchange.PoolSettings{Dial: dialer.DialCalls, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerPeer: maxIdlePerPeer, MaxHeaderBytes: maxPeerHeaderBytes, MaxBodyBytes: maxPeerBodyBytes, Budget: bodies},
+		NearDialTimeout: nearDialTimeout,
 		Retry: retry.WindowBudgetSettings{
 			Span: s.RetryBudget().Window(), Share: s.RetryBudget().Share() * retry.FleetSafetyFactor, Reserve: float64(s.RetryBudget().Reserve()) * retry.FleetSafetyFactor,
 		},
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -84,12 +84,25 @@
 		in.statements.record(now, to.Peer(), r.statement)
 		in.balancer.RecordLimit(now, to, r.statement.rate())
 	}
-	in.balancer.RecordEnd(now, to, balanceResult(r))
+	in.balancer.RecordEnd(now, to, in.balanceResult(r, latency))
 	if r.outcome == OutcomeAnswered {
 		in.balancer.RecordLatency(to, latency)
 	}
 }
 
+// minSilentDial is the time without any response after which a connection that could not be opened shows that the VM is gone.
+// While only the process restarts, connections are refused at once.
+const minSilentDial = 100 * time.Millisecond
+
+// balanceResult returns what a result after some time implies about the server for load balancing. While all nodes restart,
+// some of them are slow to accept connections.
+func (in *Ingress) balanceResult(r Result, latency time.Duration) balance.Result {
+	if r.reason == ReasonUnreachable && latency >= minSilentDial && !in.starting.isStarting() {
+		return balance.ResultUnreachable
+	}
+	return balanceResult(r)
+}
+
 // balanceResult returns what a result implies about the server for load balancing.
 func balanceResult(r Result) balance.Result {
 	switch {
--- a/proxy/ingress.go
+++ b/proxy/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -32,15 +33,17 @@
 	Quarantine func() *quarantine.View  // returns the requests that crash servers; nil means that there are none
 	Versions   *VersionCounters         // of roll-outs; nil if versions of servers are ignored
 	// Quota decides on a caller's attempt by the quota of its organisation; nil if there are no quotas.
-	Quota       func(organisation routing.Organisation) (admitted bool, retryAfter time.Duration)
-	Pool        exchange.PoolSettings // of connections to other nodes
-	Retry       retry.WindowBudgetSettings
-	Balance     balance.Settings
-	Timers      *timer.Service
-	Rand        *rand.Rand
-	Log         zerolog.Logger
-	AnsweredLog zerolog.Logger // for answered requests without a loss
-	Scope       tally.Scope
+	Quota func(organisation routing.Organisation) (admitted bool, retryAfter time.Duration)
+	Pool  exchange.PoolSettings // of connections to other nodes
+	// NearDialTimeout limits the time to open a connection to a node in the same region; 0 means that of Pool.
+	NearDialTimeout time.Duration
+	Retry           retry.WindowBudgetSettings
+	Balance         balance.Settings
+	Timers          *timer.Service
+	Rand            *rand.Rand
+	Log             zerolog.Logger
+	AnsweredLog     zerolog.Logger // for answered requests without a loss
+	Scope           tally.Scope
 }
 
 // Ingress handles the requests of callers on the node's VM. It is safe for concurrent use.
@@ -66,10 +69,12 @@
 // NewIngress returns an ingress with the given settings.
 func NewIngress(s IngressSettings) *Ingress {
 	s.Pool.Timers = s.Timers
+	var in *Ingress
+	s.Pool.DialTimeoutTo = func(peer netip.AddrPort) time.Duration { return in.dialTimeout(peer) }
 	if s.Quarantine == nil {
 		s.Quarantine = quarantine.NewView
 	}
-	return &Ingress{
+	in = &Ingress{
 		shutdownState: shutdownState{timers: s.Timers},
 		settings:      s,
 		starting:      newStartState(s.Timers),
@@ -83,6 +88,21 @@
 		retries:       retry.NewTracker(),
 		statements:    newStatementMemory(),
 	}
+	return in
+}
+
+// dialTimeout returns how long a connection to the node at an address may take to open. Requests wait for it, so it is short
+// for nodes in the own region.
+func (in *Ingress) dialTimeout(peer netip.AddrPort) time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.lastView == nil || in.settings.NearDialTimeout == 0 || in.starting.isStarting() {
+		return in.settings.Pool.DialTimeout
+	}
+	if m, ok := in.lastView.Member(peer); ok && m.Place().Region() == in.settings.Place.Region() {
+		return min(in.settings.NearDialTimeout, in.settings.Pool.DialTimeout)
+	}
+	return in.settings.Pool.DialTimeout
 }
 
 // SetSelf changes the key of the node.
--- a/proxy/ingress_test.go
+++ b/proxy/ingress_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bambooknot/bambooknot/balance"
+	"github.com/bambooknot/bambooknot/timer"
 )
 
 // TestBalanceResult checks that a request refused for lack of time does not count against the server.
@@ -25,3 +27,15 @@
 		qt.Check(t, balanceResult(test.result), qt.Equals, test.want, qt.Commentf("%v %s", test.result.outcome, test.result.reason))
 	}
 }
+
+// TestSilentNodeIsUnreachable tells a VM that is gone from a process that restarts, and from nodes that start together.
+func TestSilentNodeIsUnreachable(t *testing.T) {
+	c := qt.New(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	in := &Ingress{starting: newStartState(clock.Service())}
+	c.Check(in.balanceResult(notRun(ReasonUnreachable), minSilentDial), qt.Equals, balance.ResultFailed)
+	clock.Advance(startupTime)
+	c.Check(in.balanceResult(notRun(ReasonUnreachable), time.Millisecond), qt.Equals, balance.ResultFailed)
+	c.Check(in.balanceResult(notRun(ReasonUnreachable), minSilentDial), qt.Equals, balance.ResultUnreachable)
+	c.Check(in.balanceResult(unknown(ReasonNodeLost), time.Second), qt.Equals, balance.ResultFailed)
+}
