--- a/feed/start_test.go
+++ b/feed/start_test.go
@@ -135,3 +135,25 @@
 	}
 	qt.Check(t, asked, qt.IsTrue)
 }
+
+// TestAnswersFitTheLink guards the link of a holder: documents in answer to requests take a tenth of a second of it at once, and
+// half of it after that. One that exceeds that burst is still sent.
+func TestAnswersFitTheLink(t *testing.T) {
+	const link, document = 1.25e6, 25_000
+	sent := func(l *answerLimit, size int) (count int) {
+		for l.take(size) {
+			count++
+		}
+		return count
+	}
+	slow := newAnswerLimit(link)
+	qt.Check(t, sent(&slow, document), qt.Equals, 5)
+	slow.refill(time.Second)
+	qt.Check(t, sent(&slow, document), qt.Equals, 5)
+	slow.refill(40 * time.Millisecond)
+	qt.Check(t, sent(&slow, document), qt.Equals, 1)
+	slow.refill(time.Second)
+	qt.Check(t, sent(&slow, 1_000_000), qt.Equals, 1)
+	unlimited := newAnswerLimit(0)
+	qt.Check(t, sent(&unlimited, 1_000_000), qt.Equals, documentBurst)
+}
