lab, control, quota: one schedule of calls in virtual time for the simulations

Cause: four simulations in tests had a heap of events each. Change: lab.Schedule holds them for package lab, both networks of control and the simulation of quotas; the order of events is the same. Packages control and quota pass; their results depend on the order and are the same.

--- a/control/network_test.go
+++ b/control/network_test.go
@@ -1,13 +1,13 @@
 package control
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	"github.com/bambooknot/bambooknot/fleet"
+	"github.com/bambooknot/bambooknot/lab"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/record"
@@ -35,8 +35,7 @@
 	clock    *timer.Service // measures coreTime; nil while it is not measured
 	coreTime time.Duration
 	now      time.Time
-	lastSeq  uint64
-	queue    eventQueue
+	calls    lab.Schedule
 	rnd      *rand.Rand
 	nodes    []*testNode
 	byPeer   map[netip.AddrPort]*testNode
@@ -104,8 +103,7 @@
 }
 
 func (w *network) schedule(t time.Time, run func()) {
-	w.lastSeq++
-	heap.Push(&w.queue, event{dueAt: t, seq: w.lastSeq, run: run})
+	w.calls.Add(t, run)
 }
 
 func (w *network) after(d time.Duration, run func()) { w.schedule(w.now.Add(d), run) }
@@ -113,10 +111,13 @@
 // run executes the events of the next d.
 func (w *network) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].dueAt.After(end) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.dueAt
-		e.run()
+	for {
+		at, do, ok := w.calls.NextUntil(end)
+		if !ok {
+			break
+		}
+		w.now = at
+		do()
 	}
 	w.now = end
 }
--- a/control/sidecar_test.go
+++ b/control/sidecar_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 
 	"github.com/bambooknot/bambooknot/feed"
 	"github.com/bambooknot/bambooknot/fleet"
+	"github.com/bambooknot/bambooknot/lab"
 	"github.com/bambooknot/bambooknot/member"
 	"github.com/bambooknot/bambooknot/message"
 	"github.com/bambooknot/bambooknot/quarantine"
@@ -32,8 +32,7 @@
 // sidecarNetwork simulates sidecars in two regions and the platform's store in virtual time.
 type sidecarNetwork struct {
 	now      time.Time
-	lastSeq  uint64
-	queue    eventQueue
+	events   lab.Schedule
 	rnd      *rand.Rand
 	nodes    []*sidecarNode
 	byPeer   map[netip.AddrPort]*sidecarNode
@@ -108,16 +107,18 @@
 }
 
 func (w *sidecarNetwork) after(d time.Duration, run func()) {
-	w.lastSeq++
-	heap.Push(&w.queue, event{dueAt: w.now.Add(d), seq: w.lastSeq, run: run})
+	w.events.Add(w.now.Add(d), run)
 }
 
 func (w *sidecarNetwork) run(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].dueAt.After(end) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.dueAt
-		e.run()
+	for {
+		at, do, ok := w.events.NextUntil(end)
+		if !ok {
+			break
+		}
+		w.now = at
+		do()
 	}
 	w.now = end
 }
@@ -144,7 +145,7 @@
 		WithServer(member.NewServer("orders", member.ServerReady, 6))
 	settings := fleet.SidecarSettings(sidecarFleetName, nil, storeRetention)
 	settings.RendezvousEmptyAtStart = first
-	n.limiter = quota.NewShared(quota.NewLimiter(rand.New(rand.NewPCG(w.lastSeq, 4))))
+	n.limiter = quota.NewShared(quota.NewLimiter(rand.New(rand.NewPCG(w.events.Added(), 4))))
 	n.core = NewSidecar(SidecarSettings{
 		Self: self, Fleet: settings, Feed: feed.Settings{Self: self, Decode: w.decode, FirstStart: first, LinkBytesPerSecond: n.link}, Gone: func(error) bool { return false },
 		Quota:    QuotaSettings{Limiter: n.limiter, Slack: 20, Window: 5 * time.Second},
--- a/lab/world.go
+++ b/lab/world.go
@@ -3,7 +3,6 @@
 package lab
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -12,10 +11,9 @@
 
 // World is the virtual time of a simulation, with what happens in it and a source of random numbers.
 type World struct {
-	rnd    *rand.Rand
-	now    time.Time
-	events events
-	last   uint64 // number of the event scheduled last
+	rnd      *rand.Rand
+	now      time.Time
+	schedule Schedule
 }
 
 // NewWorld returns a world at the time start. Its random numbers are drawn from seed.
@@ -30,20 +28,20 @@
 func (w *World) Rand() *rand.Rand { return w.rnd }
 
 // At calls do at a time. Calls at equal times are made in the order in which they were scheduled.
-func (w *World) At(at time.Time, do func()) {
-	w.last++
-	heap.Push(&w.events, event{at: at, number: w.last, do: do})
-}
+func (w *World) At(at time.Time, do func()) { w.schedule.Add(at, do) }
 
 // After calls do after a duration.
 func (w *World) After(d time.Duration, do func()) { w.At(w.now.Add(d), do) }
 
 // Run makes the scheduled calls until there are none.
 func (w *World) Run() {
-	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
+	for {
+		at, do, ok := w.schedule.Next()
+		if !ok {
+			return
+		}
+		w.now = at
+		do()
 	}
 }
 
@@ -64,31 +62,3 @@
 	}
 	return otherRegionDelay
 }
-
-type event struct {
-	at     time.Time
-	number uint64
-	do     func()
-}
-
-// events is a heap of events ordered by time, then by number.
-type events []event
-
-func (a events) Len() int { return len(a) }
-
-func (a events) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].number < a[j].number
-	}
-	return a[i].at.Before(a[j].at)
-}
-
-func (a events) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *events) Push(e any)   { *a = append(*a, e.(event)) }
-
-// Pop implements heap.Interface.
-func (a *events) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -1,8 +1,6 @@
 package quota_test
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -12,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bambooknot/bambooknot/lab"
 	"github.com/bambooknot/bambooknot/quota"
 	"github.com/bambooknot/bambooknot/routing"
 )
@@ -26,31 +25,10 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // simulation runs nodes, callers who retry and a lossy network in virtual time.
 type simulation struct {
 	now       time.Duration
-	seq       int
-	queue     events
+	events    lab.Schedule
 	rnd       *rand.Rand
 	nodes     []*simNode
 	tenants   []*tenant
@@ -108,15 +86,17 @@
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now + d, s.seq, run})
+	s.events.Add(epoch.Add(s.now+d), run)
 }
 
 func (s *simulation) run(until time.Duration) {
-	for len(s.queue) > 0 && s.queue[0].at <= until {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.run()
+	for {
+		at, do, ok := s.events.NextUntil(epoch.Add(until))
+		if !ok {
+			break
+		}
+		s.now = at.Sub(epoch)
+		do()
 	}
 	s.now = until
 }
