--- a/feed/machine.go
+++ b/feed/machine.go
@@ -67,7 +67,7 @@
 	holder     netip.AddrPort   // to ask next
 	holders    []netip.AddrPort // nodes that announced the version
 	nextSendAt time.Time
-	knownAt    time.Time
+	knownAt    time.Time // when the first holder announced it
 }
 
 // New returns a machine that holds no document. It draws all random numbers from rnd.
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -84,7 +84,7 @@
 		in.statements.record(now, to.Peer(), r.statement)
 		in.balancer.RecordLimit(now, to, r.statement.rate())
 	}
-	in.balancer.RecordEnd(now, to, in.balanceResult(r, latency))
+	in.balancer.RecordEnd(now, to, in.resultForBalancer(r, latency))
 	if r.outcome == OutcomeAnswered {
 		in.balancer.RecordLatency(to, latency)
 	}
@@ -94,9 +94,9 @@
 // While only the process restarts, connections are refused at once.
 const minSilentDial = 100 * time.Millisecond
 
-// balanceResult returns what a result after some time implies about the server for load balancing. While all nodes restart,
+// resultForBalancer returns what a result after some time implies about the server for load balancing. While all nodes restart,
 // some of them are slow to accept connections.
-func (in *Ingress) balanceResult(r Result, latency time.Duration) balance.Result {
+func (in *Ingress) resultForBalancer(r Result, latency time.Duration) balance.Result {
 	if r.reason == ReasonUnreachable && latency >= minSilentDial && !in.starting.isStarting() {
 		return balance.ResultUnreachable
 	}
--- a/proxy/ingress_test.go
+++ b/proxy/ingress_test.go
@@ -33,9 +33,9 @@
 	c := qt.New(t)
 	clock := timer.NewManual(time.Unix(1000, 0))
 	in := &Ingress{starting: newStartState(clock.Service())}
-	c.Check(in.balanceResult(notRun(ReasonUnreachable), minSilentDial), qt.Equals, balance.ResultFailed)
+	c.Check(in.resultForBalancer(notRun(ReasonUnreachable), minSilentDial), qt.Equals, balance.ResultFailed)
 	clock.Advance(startupTime)
-	c.Check(in.balanceResult(notRun(ReasonUnreachable), time.Millisecond), qt.Equals, balance.ResultFailed)
-	c.Check(in.balanceResult(notRun(ReasonUnreachable), minSilentDial), qt.Equals, balance.ResultUnreachable)
-	c.Check(in.balanceResult(unknown(ReasonNodeLost), time.Second), qt.Equals, balance.ResultFailed)
+	c.Check(in.resultForBalancer(notRun(ReasonUnreachable), time.Millisecond), qt.Equals, balance.ResultFailed)
+	c.Check(in.resultForBalancer(notRun(ReasonUnreachable), minSilentDial), qt.Equals, balance.ResultUnreachable)
+	c.Check(in.resultForBalancer(unknown(ReasonNodeLost), time.Second), qt.Equals, balance.ResultFailed)
 }
