balance, lab: say which result is for time-outs, drop two accessors that nothing reads

Cause: the comments on results took refused connections for unreachable ones; only time-outs are. lab.Server had accessors for slots and slowdown without a reader. Change: comments, and the two methods are gone; behaviour is the same.

--- a/balance/report.go
+++ b/balance/report.go
@@ -33,10 +33,10 @@
 	// ResultDraining means that the server accepts no new calls of the service: it is draining, not ready, gone or
 	// replaced by a server of another service.
 	ResultDraining
-	// ResultFailed means that the server or its node closed the connection or did not answer in time.
+	// ResultFailed means that the server or its node refused or closed the connection or did not answer in time.
 	// Package proxy also uses it for answers with a status of 500 or above.
 	ResultFailed
-	// ResultUnreachable means that no connection to the server or its node could be opened. The server gets no further calls
+	// ResultUnreachable means that opening a connection to the server or its node timed out. The server gets no further calls
 	// for a moment, as each one to a VM that is gone waits for a time-out.
 	ResultUnreachable
 	// ResultNone means that the call says nothing about the server, for example because the caller disconnected.
--- a/lab/server.go
+++ b/lab/server.go
@@ -34,12 +34,6 @@
 // SetShed sets the share of the requests that the server refuses although it could run them.
 func (s *Server) SetShed(share float64) { s.shed = share }
 
-// Slots returns the number of requests that the server runs at a time.
-func (s *Server) Slots() int { return s.slots }
-
-// Slowdown returns the factor of the run times outside of slower times.
-func (s *Server) Slowdown() float64 { return s.slowdown }
-
 // Sheds draws whether the server refuses a request.
 func (s *Server) Sheds(rnd *rand.Rand) bool { return s.shed > 0 && rnd.Float64() < s.shed }
 
