--- a/review/testdata/drill/main.go
+++ b/review/testdata/drill/main.go
@@ -16,6 +16,7 @@
 // drills are the cases by name. trouble says whether the disruption happens.
 var drills = map[string]func(d *deployment, trouble bool) (int, error){
 	"replacement": runReplacement,
+	"latereport":  runLateReport,
 }
 
 func main() {
