--- a/review/testdata/drill/latereport.go
+++ b/review/testdata/drill/latereport.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"time"
 )
 
@@ -76,8 +77,11 @@
 		g.close()
 		d.record.say("%s", g.summary())
 	}
+	if !acknowledged {
+		return exitNotRun, errors.New("a leave was not acknowledged")
+	}
 	late := first.late() + second.late()
-	d.record.say("both leaves acknowledged: %t; %d requests reached the server later than %v after that", acknowledged, late, drainBound)
+	d.record.say("both leaves acknowledged; %d requests reached the server later than %v after that", late, drainBound)
 	if late > 0 {
 		return exitBroken, nil
 	}
