review: show that requests on an added route are never served

Case 6: a configuration adds a quick route to a service whose servers run longer requests of the same kind and priority. 0 of 241 requests on it are served in steady state, 73 of 73 on the first route; both are served fully if both are there from the start.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/bambooknot ] && [ -x target/review-2/stand-2 ] || exit 2
-exec target/review-2/stand-2 uploads "$folder"
+exec target/review-2/stand-2 added-route "$folder"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts under review/6 to review/10 into target/review-2, which git ignores. The program itself
+# Builds the stand-ins of the scripts under review/6 to review/8 into target/review-2, which git ignores. The program itself
 # is built as deploy/system.toml says.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -13,7 +13,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
 		os.Exit(2)
 	}
-	play := map[string]func(*fleet, *record, bool) (bool, error){"uploads": playUploads, "departure": playDeparture}[os.Args[1]]
+	play := map[string]func(*fleet, *record, bool) (bool, error){"uploads": playUploads, "departure": playDeparture, "added-route": playAddedRoute}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(2)
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -24,6 +24,8 @@
 	work  time.Duration
 	// uploadWork is the time of a request with a large body.
 	uploadWork time.Duration
+	// workOf returns the time of a request by its path; nil means work.
+	workOf func(path string) time.Duration
 }
 
 // server is a stand-in for an application server as PROTOCOL.md describes one.
@@ -99,7 +101,7 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	work := s.begin(id, size)
+	work := s.begin(id, r.URL.Path, size)
 	if s.onRun != nil {
 		s.onRun(id)
 	}
@@ -137,11 +139,14 @@
 }
 
 // begin records a run and returns how long it takes.
-func (s *server) begin(id string, size int64) time.Duration {
+func (s *server) begin(id, path string, size int64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[id]++
 	work := s.settings.work
+	if s.settings.workOf != nil {
+		work = s.settings.workOf(path)
+	}
 	if size >= 1<<20 && s.settings.uploadWork > 0 {
 		work = s.settings.uploadWork
 	}
