--- a/review/stand-2/added.go
+++ b/review/stand-2/added.go
@@ -16,7 +16,7 @@
 	pathPeek        = "/peek/"
 	configApply     = 2500 * time.Millisecond // of the bounds
 	reportLimit     = 2 * time.Second         // time limit and timeout
-	reportWork      = 600 * time.Millisecond  // give or take 5 in 100
+	reportWork      = 600 * time.Millisecond  // give or take 15 in 100
 	reportPerSecond = 6
 	peekLimit       = 250 * time.Millisecond // price-peek of cloghan-lists
 	peekWork        = 22 * time.Millisecond
@@ -54,7 +54,7 @@
 		if path == pathPeek {
 			return peekWork
 		}
-		return time.Duration(float64(reportWork) * (0.95 + 0.1*rand.Float64()))
+		return time.Duration(float64(reportWork) * (0.85 + 0.3*rand.Float64()))
 	}
 	for i := range 4 {
 		service := serviceLists
