--- a/review/stand-2/added.go
+++ b/review/stand-2/added.go
@@ -112,5 +112,8 @@
 		r.get("report served"), r.get("report sent"), r.get("peek served"), r.get("peek sent"))
 	r.printf("%s", text)
 	fmt.Println(text)
-	return r.get("peek sent") < minAdded || share("peek") >= minRelative*share("report"), nil
+	if r.get("report served") == 0 || r.get("peek sent") < minAdded {
+		return false, fmt.Errorf("too few requests to judge")
+	}
+	return share("peek") >= minRelative*share("report"), nil
 }
--- a/review/stand-2/departure.go
+++ b/review/stand-2/departure.go
@@ -54,7 +54,7 @@
 			return
 		}
 		after := time.Since(ackedAt)
-		inTouch := time.Since(leaving.startedAt()) >= stabilityWindow
+		inTouch := time.Since(leaving.disturbedAt()) >= stabilityWindow
 		r.printf("the server that left runs %s, %v after the acknowledgement of its leave; its sidecar is in touch: %t", id, after.Round(time.Millisecond), inTouch)
 		if after > drain && inTouch {
 			late++
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -91,11 +91,11 @@
 	service string
 	server  *server
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{} // closed when the process has ended
-	starts  int
-	started time.Time // last start of the process
+	mu        sync.Mutex
+	process   *exec.Cmd
+	ended     chan struct{} // closed when the process has ended
+	starts    int
+	disturbed time.Time // last start of the process, or last signal to it
 
 	peakMemory int64 // in bytes, used by limitMemory
 }
@@ -205,7 +205,7 @@
 	}
 	ended := make(chan struct{})
 	m.mu.Lock()
-	m.process, m.ended, m.started = cmd, ended, time.Now()
+	m.process, m.ended, m.disturbed = cmd, ended, time.Now()
 	m.starts++
 	m.mu.Unlock()
 	go func() {
@@ -221,6 +221,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	_ = m.process.Process.Signal(s)
+	m.disturbed = time.Now()
 }
 
 // kill ends the sidecar process and waits for its end.
@@ -229,11 +230,11 @@
 	m.awaitEnd()
 }
 
-// startedAt returns the time of the last start of the sidecar process.
-func (m *machine) startedAt() time.Time {
+// disturbedAt returns the time of the last start of the sidecar process, or of the last signal to it.
+func (m *machine) disturbedAt() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.started
+	return m.disturbed
 }
 
 // awaitEnd waits until the sidecar process has ended.
